--- /dev/null
+++ b/src/decide.rs
@@ -0,0 +1,605 @@
+//! Every decision of the library. Its types, events and actions stand in `interface.rs`.
+//!
+//! The rule: a call's *score* on a route is its worth, times the estimated chance that it stands in
+//! time, less the cost of the route and a price for the processor work that it takes. The call goes
+//! out on the best route; none above zero means a short wait at the node while that can still help,
+//! then refusal. What follows is the estimate of a server's wait, the guards of the five rules, and
+//! what happens to calls whose attempt failed.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::interface::*;
+
+/// Cost of a route over a second choice, in worths of the cheapest class: a small handicap.
+const SECOND_COST: f64 = 0.03;
+/// Share of the aim up to which a call is sure to stand, and at which it is sure not to.
+const CURVE: (f64, f64) = (0.7, 1.2);
+/// Pressed wait as a share of `repeat`: beyond `repeat` a waiting set-up makes more work.
+const PRESSED: f64 = 0.75;
+/// Pressed wait as a share of the shortest aim, where set-ups are not repeated.
+const PRESSED_OF_AIM: f64 = 0.3;
+/// Growth of the price of work with the wait; at the pressed wait it is the cheapest worth.
+const PRICE_POWER: i32 = 2;
+/// How much of a new wait sample goes into the estimate.
+const GAIN: f64 = 0.5;
+/// How fast an estimated wait drains while nothing is heard, per unit of time.
+const DRAIN: f64 = 0.5;
+/// Time over which outcomes age, in microseconds (about ten seconds, as the design page has it).
+const AGEING: f64 = 10e6;
+/// Outcomes that stand for no evidence, so that a share fades as its outcomes age.
+const PRIOR: f64 = 2.0;
+/// Share of the aim that a call may spend waiting at the node to be sent.
+const HOLD: f64 = 0.5;
+/// Pause between two looks at waiting calls, in microseconds.
+const LOOK: Micros = 10_000;
+/// Share of a cold server's estimated capacity that all nodes together send it.
+const COLD_USE: f64 = 1.0;
+/// Scores this near, in worths of the cheapest class, count as equal.
+const NEAR: f64 = 0.05;
+/// Set-ups a second that a warm server is taken to do at least, before this node has seen better.
+const UNKNOWN_RATE: f64 = 10.0;
+/// The one timer.
+const TICK: u64 = 1;
+
+/// A share of bad outcomes that ages.
+#[derive(Clone, Copy, Default)]
+struct Share {
+    bad: f64,
+    all: f64,
+    at: Micros,
+}
+
+impl Share {
+    fn faded(&self, now: Micros) -> f64 {
+        (-((now - self.at) as f64) / AGEING).exp()
+    }
+
+    fn add(&mut self, now: Micros, bad: bool) {
+        let faded = self.faded(now);
+        self.bad = self.bad * faded + f64::from(u8::from(bad));
+        self.all = self.all * faded + 1.0;
+        self.at = now;
+    }
+
+    fn value(&self, now: Micros) -> f64 {
+        let faded = self.faded(now);
+        self.bad * faded / (self.all * faded + PRIOR)
+    }
+}
+
+/// What this node knows of one server.
+struct Server {
+    ready: bool,
+    started_at: Option<Micros>,
+    place: i64,
+    zone: u32,
+    /// Free circuits or lines, where told.
+    free: Option<f64>,
+    /// Least lag seen: the way there and back with nobody waiting.
+    base: Option<Micros>,
+    /// Estimated wait and the moment it was true.
+    wait: f64,
+    wait_at: Micros,
+    /// Own set-ups without an answer, oldest first.
+    open: BTreeSet<(Micros, CallId, u32)>,
+    /// Set-ups that ended in refusal or silence.
+    failed: Share,
+    /// Calls turned back by it as a tandem.
+    turned: Share,
+    /// Own set-ups answered, aged: with the other nodes' like share this is its throughput.
+    answered: Share,
+    /// The last outcome was silence: only lone cheap calls try it.
+    suspect: bool,
+    /// While cold: no send before this.
+    next_cold: Micros,
+}
+
+impl Server {
+    fn new(member: &Member, now: Micros) -> Self {
+        Server {
+            ready: false,
+            started_at: None,
+            place: member.place,
+            zone: member.zone,
+            free: None,
+            base: None,
+            wait: 0.0,
+            wait_at: now,
+            open: BTreeSet::new(),
+            failed: Share::default(),
+            turned: Share::default(),
+            answered: Share::default(),
+            suspect: false,
+            next_cold: now,
+        }
+    }
+
+    fn base(&self) -> f64 {
+        self.base.unwrap_or(0) as f64
+    }
+
+    fn settle(&mut self, now: Micros) {
+        self.wait = (self.wait - DRAIN * (now - self.wait_at) as f64).max(0.0);
+        self.wait_at = now;
+    }
+
+    /// The wait that a set-up sent now would meet.
+    fn expected(&self, now: Micros) -> f64 {
+        let drained = (self.wait - DRAIN * (now - self.wait_at) as f64).max(0.0);
+        let oldest = self.open.first().map_or(0.0, |&(sent, ..)| (now - sent) as f64 - self.base());
+        drained.max(oldest)
+    }
+
+    fn sample(&mut self, now: Micros, wait: f64, gain: f64) {
+        self.settle(now);
+        self.wait += gain * (wait - self.wait);
+    }
+}
+
+/// An attempt on its way.
+#[derive(Clone, Copy)]
+struct Out {
+    server: ServerId,
+    sent: Micros,
+}
+
+/// A call that is owed an answer.
+struct Pending {
+    call: Call,
+    arrived: Micros,
+    ends: Micros,
+    attempts: u32,
+    out: Option<Out>,
+    /// No send before this: what an earlier attempt tied up may still be held.
+    released: Micros,
+    /// The first attempt that may have run: when it was sent, and where.
+    may_have_run: Option<(Micros, ServerId)>,
+    waiting: bool,
+}
+
+/// The decisions of one access node.
+pub struct Controller {
+    settings: Settings,
+    servers: BTreeMap<ServerId, Server>,
+    calls: BTreeMap<CallId, Pending>,
+    /// Calls waiting to be sent, dearest first, then oldest.
+    waiting: BTreeSet<(Reverse<u64>, Micros, CallId)>,
+    random: u64,
+    ticking: bool,
+    watched: bool,
+    now: Micros,
+    pressed: f64,
+    cheapest: f64,
+}
+
+impl Controller {
+    /// A node's controller, with a seed for its random choices.
+    ///
+    /// # Errors
+    ///
+    /// When the settings are unusable: no classes, no nodes, negative or non-finite figures.
+    pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
+        let bad = |what: &str| Err(SettingsError(what.to_owned()));
+        if settings.classes.is_empty() {
+            return bad("no classes");
+        }
+        if settings.balancers == 0 {
+            return bad("no access nodes");
+        }
+        for class in &settings.classes {
+            if class.aim <= 0 || class.deadline <= 0 || class.dedup_window < 0 {
+                return bad("a class needs an aim and a deadline above zero");
+            }
+            let worths = [class.worth, class.late_worth];
+            if worths.iter().any(|worth| !worth.is_finite() || *worth < 0.0) {
+                return bad("a class needs finite worths, not below zero");
+            }
+        }
+        let spans = [settings.repeat, settings.release, settings.cold_span, settings.fall_span];
+        if spans.iter().any(|&span| span < 0) {
+            return bad("a span below zero");
+        }
+        let shares = [settings.cold_from, settings.fall_multiple];
+        if shares.iter().any(|share| !share.is_finite() || *share <= 0.0) {
+            return bad("the figures of cold servers must be above zero");
+        }
+        let least = |worths: f64, class: &Class| worths.min(class.worth);
+        let cheapest = settings.classes.iter().fold(f64::INFINITY, least);
+        let aim = settings.classes.iter().map(|class| class.aim).min().unwrap_or(1) as f64;
+        let pressed = match settings.repeat {
+            0 => PRESSED_OF_AIM * aim,
+            repeat => PRESSED * repeat as f64,
+        };
+        Ok(Controller {
+            settings,
+            servers: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            waiting: BTreeSet::new(),
+            random: seed,
+            ticking: false,
+            watched: false,
+            now: 0,
+            pressed: pressed.max(1.0),
+            cheapest: cheapest.max(f64::MIN_POSITIVE),
+        })
+    }
+
+    /// Takes in one event at the moment `now`, and adds what is to be done to `actions`.
+    pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
+        self.now = self.now.max(now);
+        if !self.watched && self.settings.membership == Membership::Subscribe {
+            self.watched = true;
+            actions.push(Action::Watch(true));
+        }
+        match event {
+            Event::Members(news) => self.members(news),
+            Event::Call(call) => self.arrive(call, actions),
+            Event::Started { call, attempt, server, lag } => self.started(call, attempt, server, lag),
+            Event::Ended { call, attempt, server, outcome, lag, closed, reason, report } => {
+                self.learn(call, attempt, server, outcome, lag, reason);
+                self.report(server, &report);
+                self.ended(call, attempt, outcome, closed, actions);
+            }
+            Event::CallerGone(call) => self.forget(call),
+            Event::Timer(TICK) => self.ticking = false,
+            Event::Timer(_) => {}
+            Event::Probed { server, report, .. } => self.report(server, &report),
+            Event::Note { .. } => {}
+        }
+        self.review(actions);
+    }
+
+    fn chance(&mut self) -> f64 {
+        self.random = self.random.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut bits = self.random;
+        bits = (bits ^ (bits >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        bits = (bits ^ (bits >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        ((bits ^ (bits >> 31)) >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    // ---- The list of servers ----
+
+    fn members(&mut self, news: MemberNews) {
+        match news {
+            MemberNews::Changes(members) => members.iter().for_each(|member| self.member(member)),
+            MemberNews::Complete(members) => {
+                self.servers.values_mut().for_each(|server| server.ready = false);
+                members.iter().for_each(|member| self.member(member));
+            }
+            MemberNews::Failed => self.watched = false,
+        }
+    }
+
+    fn member(&mut self, member: &Member) {
+        let (now, spacing) = (self.now, self.cold_spacing(self.settings.cold_from));
+        let first = self.chance() * spacing;
+        let server = self.servers.entry(member.server).or_insert_with(|| Server::new(member, now));
+        server.ready = member.availability == Availability::Ready;
+        server.place = member.place;
+        server.zone = member.zone;
+        if server.started_at != member.started_at && member.started_at.is_some() {
+            // A new process knows nothing of its predecessor's queue.
+            server.started_at = member.started_at;
+            server.wait = 0.0;
+            server.suspect = false;
+            server.failed = Share::default();
+            server.next_cold = now + first as Micros;
+        }
+    }
+
+    /// Share of its capacity that a server has at least, 1 when warm.
+    fn warmth(&self, server: &Server) -> f64 {
+        let Some(started) = server.started_at else { return 1.0 };
+        let (age, span) = ((self.now - started) as f64, self.settings.cold_span as f64);
+        if age >= span {
+            return 1.0;
+        }
+        let from = self.settings.cold_from.min(1.0);
+        from + (1.0 - from) * (age / span).max(0.0)
+    }
+
+    /// Set-ups a second that a warm server takes from all nodes, judged from this node's share.
+    fn warm_rate(&self) -> f64 {
+        let rate = |server: &Server| server.answered.all * server.answered.faded(self.now) / (AGEING / 1e6);
+        let best = self.servers.values().filter(|s| self.warmth(s) >= 1.0).map(rate).fold(0.0, f64::max);
+        (best * f64::from(self.settings.balancers)).max(UNKNOWN_RATE)
+    }
+
+    /// Pause between this node's sends to a cold server, so that all nodes keep within its means.
+    fn cold_spacing(&self, warmth: f64) -> f64 {
+        f64::from(self.settings.balancers) * 1e6 / (self.warm_rate() * warmth * COLD_USE)
+    }
+
+    // ---- What answers tell ----
+
+    fn report(&mut self, id: ServerId, report: &Report) {
+        let now = self.now;
+        let Some(server) = self.servers.get_mut(&id) else { return };
+        if report.free.is_some() {
+            server.free = report.free;
+        }
+        if let Some(wait) = report.wait {
+            server.sample(now, wait as f64, GAIN / 2.0);
+        }
+    }
+
+    fn started(&mut self, call: CallId, attempt: u32, id: ServerId, lag: Micros) {
+        let now = self.now;
+        if let Some(server) = self.servers.get_mut(&id) {
+            server.open.retain(|&(_, c, a)| (c, a) != (call, attempt));
+            let base = server.base.map_or(lag, |base| base.min(lag)).max(0);
+            server.base = Some(base);
+            server.suspect = false;
+            server.failed.add(now, false);
+            server.turned.add(now, false);
+            server.answered.add(now, false);
+            server.sample(now, (lag - base) as f64, GAIN);
+        }
+        self.forget(call);
+    }
+
+    fn learn(&mut self, call: CallId, attempt: u32, id: ServerId, how: Outcome, lag: Micros, why: Reason) {
+        let (now, pressed) = (self.now, self.pressed);
+        let Some(server) = self.servers.get_mut(&id) else { return };
+        let before = server.open.len();
+        server.open.retain(|&(_, c, a)| (c, a) != (call, attempt));
+        if server.open.len() == before {
+            return; // It stood before: its end says nothing of set-ups.
+        }
+        match (how, why) {
+            (Outcome::Full, Reason::NoCircuit) | (Outcome::Moot, _) => {}
+            (Outcome::Full, Reason::TurnedBack { .. }) => server.turned.add(now, true),
+            (Outcome::Full, Reason::ProcessorFull { wait }) => {
+                server.suspect = false;
+                server.failed.add(now, true);
+                let wait = if wait > 0 { wait as f64 } else { server.wait.max(4.0 * pressed) };
+                server.sample(now, wait, 1.0);
+            }
+            (Outcome::TimedOut | Outcome::Unreachable | Outcome::Reset, _) => {
+                server.failed.add(now, true);
+                server.suspect = how != Outcome::Reset;
+                let wait = server.wait.max(lag as f64).max(4.0 * pressed);
+                server.sample(now, wait, 1.0);
+            }
+            _ => {}
+        }
+    }
+
+    // ---- A call's life ----
+
+    fn forget(&mut self, id: CallId) {
+        if let Some(gone) = self.calls.remove(&id) {
+            self.waiting.remove(&self.rank(&gone));
+        }
+    }
+
+    fn rank(&self, pending: &Pending) -> (Reverse<u64>, Micros, CallId) {
+        let worth = self.settings.classes.get(pending.call.class).map_or(0.0, |class| class.worth);
+        (Reverse((worth * 1e6) as u64), pending.arrived, pending.call.id)
+    }
+
+    fn arrive(&mut self, call: Call, actions: &mut Vec<Action>) {
+        let id = call.id;
+        if call.class >= self.settings.classes.len() {
+            actions.push(Action::Fail(id));
+            return;
+        }
+        let (arrived, ends) = (self.now, self.now.saturating_add(call.patience));
+        let fresh = Pending {
+            call,
+            arrived,
+            ends,
+            attempts: 0,
+            out: None,
+            released: arrived,
+            may_have_run: None,
+            waiting: false,
+        };
+        self.calls.insert(id, fresh);
+        self.place(id, actions);
+    }
+
+    fn ended(&mut self, id: CallId, attempt: u32, how: Outcome, closed: bool, actions: &mut Vec<Action>) {
+        if closed {
+            return self.forget(id);
+        }
+        let now = self.now;
+        let Some(pending) = self.calls.get_mut(&id) else { return };
+        if attempt + 1 != pending.attempts {
+            return;
+        }
+        let Some(out) = pending.out.take() else { return };
+        if !matches!(how, Outcome::Full | Outcome::Unreachable | Outcome::Moot) {
+            pending.may_have_run.get_or_insert((out.sent, out.server));
+        }
+        if matches!(how, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled) {
+            // The release rule: what the attempt tied up may still be held.
+            pending.released = now + self.settings.release;
+        }
+        if how == Outcome::Error {
+            return self.give_up(id, actions);
+        }
+        self.place(id, actions);
+    }
+
+    /// Sends the call on its best route, lets it wait, or turns it away.
+    fn place(&mut self, id: CallId, actions: &mut Vec<Action>) {
+        let Some(pending) = self.calls.get(&id) else { return };
+        if pending.out.is_some() {
+            return;
+        }
+        let at = self.now.max(pending.released);
+        let best = self.best(pending, at);
+        match best {
+            Some(to) if at == self.now => self.send(id, to, actions),
+            Some(_) => self.wait(id, actions),
+            None if self.may_wait(pending) => self.wait(id, actions),
+            None => self.give_up(id, actions),
+        }
+    }
+
+    /// Whether the call can still gain by waiting for a route to pay.
+    fn may_wait(&self, pending: &Pending) -> bool {
+        let class = &self.settings.classes[pending.call.class];
+        let used = (self.now.max(pending.released) - pending.arrived) as f64;
+        !pending.call.in_transit
+            && used < HOLD * class.aim as f64
+            && self.now < pending.ends - LOOK
+            && pending.attempts < self.settings.max_attempts
+            && self.servers.iter().any(|(&id, server)| self.permitted(pending, id, server))
+    }
+
+    fn wait(&mut self, id: CallId, actions: &mut Vec<Action>) {
+        let Some(pending) = self.calls.get(&id) else { return };
+        let rank = self.rank(pending);
+        self.waiting.insert(rank);
+        if let Some(pending) = self.calls.get_mut(&id) {
+            pending.waiting = true;
+        }
+        if !self.ticking {
+            self.ticking = true;
+            actions.push(Action::Timer { token: TICK, delay: LOOK });
+        }
+    }
+
+    /// Looks again at the calls that wait.
+    fn review(&mut self, actions: &mut Vec<Action>) {
+        if self.waiting.is_empty() {
+            return;
+        }
+        let waiting: Vec<CallId> = self.waiting.iter().map(|&(.., id)| id).collect();
+        for id in waiting {
+            self.place(id, actions);
+        }
+        if !self.waiting.is_empty() && !self.ticking {
+            self.ticking = true;
+            actions.push(Action::Timer { token: TICK, delay: LOOK });
+        }
+    }
+
+    fn send(&mut self, id: CallId, to: ServerId, actions: &mut Vec<Action>) {
+        let now = self.now;
+        let unit = 1e6 / self.warm_rate();
+        let nodes = f64::from(self.settings.balancers);
+        let jitter = 0.75 + 0.5 * self.chance();
+        let cold = self.servers.get(&to).map_or(1.0, |server| self.warmth(server));
+        let spacing = self.cold_spacing(cold) * jitter;
+        let Some(pending) = self.calls.get(&id) else { return };
+        let rank = self.rank(pending);
+        self.waiting.remove(&rank);
+        let Some(pending) = self.calls.get_mut(&id) else { return };
+        let Some(server) = self.servers.get_mut(&to) else { return };
+        pending.waiting = false;
+        server.open.insert((now, id, pending.attempts));
+        server.settle(now);
+        server.wait += DRAIN * unit * nodes;
+        server.free = server.free.map(|free| free - pending.call.width);
+        if cold < 1.0 {
+            server.next_cold = now + spacing as Micros;
+        }
+        pending.attempts += 1;
+        pending.out = Some(Out { server: to, sent: now });
+        actions.push(Action::Send { call: id, server: to, timeout: 0 });
+    }
+
+    /// The final answer to a call that is not sent (again).
+    fn give_up(&mut self, id: CallId, actions: &mut Vec<Action>) {
+        let Some(pending) = self.calls.get(&id) else { return };
+        let class = &self.settings.classes[pending.call.class];
+        let ran = pending.may_have_run.is_some();
+        let refusable = match class.effect {
+            Effect::Safe => true,
+            Effect::Dedup => !ran || class.dedup_group == DedupGroup::All,
+            Effect::Fragile => !ran,
+        };
+        if refusable {
+            let retry_after = self.settings.max_retry_hint.unwrap_or(0);
+            actions.push(Action::Refuse { call: id, retry_after });
+        } else {
+            actions.push(Action::Fail(id));
+        }
+        self.forget(id);
+    }
+
+    // ---- The score ----
+
+    /// Whether rules and settings let this call go to this server at all.
+    fn permitted(&self, pending: &Pending, id: ServerId, server: &Server) -> bool {
+        let (call, class) = (&pending.call, &self.settings.classes[pending.call.class]);
+        let direct = server.place == call.destination;
+        let listed = match (self.settings.home, &class.allowed) {
+            (Some(home), _) => server.place != home && (direct || !call.in_transit),
+            (None, Some(pools)) => pools.contains(&server.place),
+            (None, None) => true,
+        };
+        let repeatable = match (pending.may_have_run, class.effect) {
+            (None, _) | (_, Effect::Safe) => true,
+            (Some(_), Effect::Fragile) => false,
+            (Some((sent, first)), Effect::Dedup) => {
+                let same = self.servers.get(&first).is_some_and(|first| match class.dedup_group {
+                    DedupGroup::All => true,
+                    DedupGroup::Zone => first.zone == server.zone,
+                    DedupGroup::Cell => first.place == server.place,
+                });
+                id == first && self.now - sent < class.dedup_window
+                    || same && self.now - sent < class.dedup_window
+            }
+        };
+        server.ready && listed && repeatable
+    }
+
+    /// The route of the best score above zero for a call that would be sent at the moment `at`.
+    fn best(&self, pending: &Pending, at: Micros) -> Option<ServerId> {
+        if pending.attempts >= self.settings.max_attempts || at >= pending.ends {
+            return None;
+        }
+        let near = NEAR * self.cheapest;
+        let mut best: Option<(f64, ServerId)> = None;
+        for (&id, server) in &self.servers {
+            if !self.permitted(pending, id, server) {
+                continue;
+            }
+            let mut score = self.score(pending, server, at);
+            if score > 0.0 && server.place == pending.call.destination {
+                score += near; // The first choice wins near-ties, so that nodes with one view don't herd.
+            }
+            if score > 0.0 && best.is_none_or(|(top, _)| score > top) {
+                best = Some((score, id));
+            }
+        }
+        best.map(|(_, id)| id)
+    }
+
+    fn score(&self, pending: &Pending, server: &Server, at: Micros) -> f64 {
+        let (now, call) = (self.now, &pending.call);
+        let class = &self.settings.classes[call.class];
+        let direct = server.place == call.destination;
+        let cold = self.warmth(server) < 1.0;
+        let barred = server.free.is_some_and(|free| free < call.width)
+            || cold && server.next_cold > now
+            || server.suspect && (!server.open.is_empty() || class.worth > self.cheapest);
+        if barred {
+            return f64::NEG_INFINITY;
+        }
+        let mut wait = server.expected(now);
+        let mut stands = 1.0 - server.failed.value(now);
+        if !direct && self.settings.home.is_some() {
+            // Two legs: the tandem's own refusals, and the destination's processor behind it.
+            stands *= 1.0 - server.turned.value(now);
+            if let Some(far) = self.servers.values().find(|far| far.place == call.destination) {
+                stands *= 1.0 - far.failed.value(now);
+                wait += far.expected(now);
+            }
+        }
+        let reached = (at - pending.arrived) as f64 + server.base() + wait;
+        let (sure, lost) = CURVE;
+        let missed = ((reached / class.aim as f64 - sure) / (lost - sure)).clamp(0.0, 1.0);
+        let patience = call.patience.max(1) as f64;
+        let dropped = ((reached / patience - sure) / (lost - sure)).clamp(0.0, 1.0);
+        let late = (1.0 - dropped).min(missed);
+        let gain = class.worth * stands * ((1.0 - missed) + class.late_worth * late);
+        let price = self.cheapest * (wait / self.pressed).powi(PRICE_POWER) * call.width;
+        gain - price - if direct { 0.0 } else { SECOND_COST * self.cheapest }
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,38 @@
+//! Admission and routing decisions of an access node in front of shared call servers.
+//!
+//! Each node scores every route for a new call as *worth x estimated chance of success - route
+//! cost*, sends the call on the best route, and refuses it when none scores above zero (after
+//! Milito, Levy and Arian, "Dynamic Algorithms for Distributed Queues with Abandonments").
+//!
+//! A [`Controller`] is told what happens, with the time, and answers with actions. It does no I/O,
+//! reads no clock, starts no thread, and acts alike on the same events and seed.
+//!
+//! ```
+//! use lemoncleat::{
+//!     Action, Availability, Call, CallId, Class, Controller, Event, Member, MemberNews, ServerId, Settings,
+//! };
+//!
+//! let class = Class { aim: 1_500_000, deadline: 9_000_000, worth: 1.0, ..Class::default() };
+//! let settings = Settings { classes: vec![class], ..Settings::default() };
+//! let mut controller = Controller::new(settings, 7)?;
+//! let mut actions = Vec::new();
+//!
+//! let server = ServerId(0);
+//! let member = Member { server, availability: Availability::Ready, started_at: None, place: 0, zone: 0 };
+//! controller.handle(0, Event::Members(MemberNews::Complete(vec![member])), &mut actions);
+//!
+//! let id = CallId(1);
+//! let call = Call { id, patience: 3_000_000, width: 1.0, ..Call::default() };
+//! controller.handle(10_000, Event::Call(call), &mut actions);
+//! assert!(actions.iter().any(|a| matches!(a, Action::Send { call, server: s, .. } if *call == id && *s == server)));
+//! # Ok::<(), lemoncleat::SettingsError>(())
+//! ```
+
+mod decide;
+mod interface;
+
+pub use decide::Controller;
+pub use interface::{
+    Action, Availability, Call, CallId, Class, DedupGroup, Effect, Event, Member, MemberNews, Membership,
+    Micros, Outcome, Reason, Report, ServerId, Settings, SettingsError,
+};
