--- a/src/decide.rs
+++ b/src/decide.rs
@@ -39,6 +39,14 @@
 const NEAR: f64 = 0.05;
 /// Set-ups a second that a warm server is taken to do at least, before this node has seen better.
 const UNKNOWN_RATE: f64 = 10.0;
+/// First pause before a silent server is tried again, in pressed waits; it doubles up to `TRIAL_MOST`.
+const TRIAL: f64 = 2.0;
+/// Longest pause between trials, in pressed waits.
+const TRIAL_MOST: f64 = 16.0;
+/// A set-up is given up for another route once that scores better by this share of its worth.
+const RESCUE: f64 = 0.25;
+/// Patience within this part of the usual counts as the usual.
+const SPREAD: Micros = 32;
 /// The one timer.
 const TICK: u64 = 1;
 
@@ -89,8 +97,14 @@
     turned: Share,
     /// Own set-ups answered, aged: with the other nodes' like share this is its throughput.
     answered: Share,
-    /// The last outcome was silence: only lone cheap calls try it.
+    /// The last outcome was silence: only lone cheap calls try it, at growing pauses.
     suspect: bool,
+    trial_pause: f64,
+    /// When this node last sent to it, and when the latest send that was answered went out.
+    last_sent: Micros,
+    answered_sent: Micros,
+    /// No line was free: no send before this.
+    next_line: Micros,
     /// While cold: no send before this.
     next_cold: Micros,
 }
@@ -111,6 +125,10 @@
             turned: Share::default(),
             answered: Share::default(),
             suspect: false,
+            trial_pause: TRIAL,
+            last_sent: now,
+            answered_sent: Micros::MIN,
+            next_line: now,
             next_cold: now,
         }
     }
@@ -127,8 +145,14 @@
     /// The wait that a set-up sent now would meet.
     fn expected(&self, now: Micros) -> f64 {
         let drained = (self.wait - DRAIN * (now - self.wait_at) as f64).max(0.0);
-        let oldest = self.open.first().map_or(0.0, |&(sent, ..)| (now - sent) as f64 - self.base());
-        drained.max(oldest)
+        drained.max(self.silence(now))
+    }
+
+    /// How long the oldest set-up that no later one overtook has waited: it shows a hang before any
+    /// time-out. One lost on the way says nothing once a later one is answered.
+    fn silence(&self, now: Micros) -> f64 {
+        let oldest = self.open.iter().find(|&&(sent, ..)| sent > self.answered_sent);
+        oldest.map_or(0.0, |&(sent, ..)| ((now - sent) as f64 - self.base()).max(0.0))
     }
 
     fn sample(&mut self, now: Micros, wait: f64, gain: f64) {
@@ -155,7 +179,30 @@
     released: Micros,
     /// The first attempt that may have run: when it was sent, and where.
     may_have_run: Option<(Micros, ServerId)>,
-    waiting: bool,
+    /// The attempt that is out was cancelled.
+    withdrawn: bool,
+    /// Time used in earlier tries, as far as known.
+    used_before: Micros,
+}
+
+/// The usual patience of first tries in a class, found by majority vote.
+#[derive(Clone, Copy, Default)]
+struct Usual {
+    patience: Micros,
+    votes: u32,
+}
+
+impl Usual {
+    fn vote(&mut self, patience: Micros) {
+        if self.votes == 0 {
+            self.patience = patience;
+        }
+        if (self.patience - patience).abs() <= self.patience / SPREAD {
+            self.votes = self.votes.saturating_add(1);
+        } else {
+            self.votes -= 1;
+        }
+    }
 }
 
 /// The decisions of one access node.
@@ -165,6 +212,7 @@
     calls: BTreeMap<CallId, Pending>,
     /// Calls waiting to be sent, dearest first, then oldest.
     waiting: BTreeSet<(Reverse<u64>, Micros, CallId)>,
+    usual: Vec<Usual>,
     random: u64,
     ticking: bool,
     watched: bool,
@@ -212,6 +260,7 @@
             repeat => PRESSED * repeat as f64,
         };
         Ok(Controller {
+            usual: vec![Usual::default(); settings.classes.len()],
             settings,
             servers: BTreeMap::new(),
             calls: BTreeMap::new(),
@@ -232,6 +281,7 @@
             self.watched = true;
             actions.push(Action::Watch(true));
         }
+        let mut tick = false;
         match event {
             Event::Members(news) => self.members(news),
             Event::Call(call) => self.arrive(call, actions),
@@ -239,15 +289,18 @@
             Event::Ended { call, attempt, server, outcome, lag, closed, reason, report } => {
                 self.learn(call, attempt, server, outcome, lag, reason);
                 self.report(server, &report);
-                self.ended(call, attempt, outcome, closed, actions);
+                self.ended(call, attempt, outcome, reason, closed, actions);
             }
             Event::CallerGone(call) => self.forget(call),
-            Event::Timer(TICK) => self.ticking = false,
+            Event::Timer(TICK) => {
+                self.ticking = false;
+                tick = true;
+            }
             Event::Timer(_) => {}
             Event::Probed { server, report, .. } => self.report(server, &report),
             Event::Note { .. } => {}
         }
-        self.review(actions);
+        self.review(tick, actions);
     }
 
     fn chance(&mut self) -> f64 {
@@ -326,11 +379,16 @@
 
     fn started(&mut self, call: CallId, attempt: u32, id: ServerId, lag: Micros) {
         let now = self.now;
+        // A first answer may come out of a queue: it is no measure of the way there alone.
+        let others = self.servers.values().filter_map(|server| server.base).max();
+        let most = others.unwrap_or(Micros::MAX).min(self.pressed as Micros);
         if let Some(server) = self.servers.get_mut(&id) {
             server.open.retain(|&(_, c, a)| (c, a) != (call, attempt));
-            let base = server.base.map_or(lag, |base| base.min(lag)).max(0);
+            let base = server.base.unwrap_or(most).min(lag).max(0);
             server.base = Some(base);
             server.suspect = false;
+            server.trial_pause = TRIAL;
+            server.answered_sent = server.answered_sent.max(now - lag);
             server.failed.add(now, false);
             server.turned.add(now, false);
             server.answered.add(now, false);
@@ -348,21 +406,27 @@
             return; // It stood before: its end says nothing of set-ups.
         }
         match (how, why) {
-            (Outcome::Full, Reason::NoCircuit) | (Outcome::Moot, _) => {}
+            (Outcome::Full, Reason::NoCircuit) => server.next_line = now + pressed as Micros / 4,
+            (Outcome::Moot, _) => {}
             (Outcome::Full, Reason::TurnedBack { .. }) => server.turned.add(now, true),
-            (Outcome::Full, Reason::ProcessorFull { wait }) => {
+            (Outcome::Full, why) => {
+                let wait = if let Reason::ProcessorFull { wait } = why { wait } else { 0 };
                 server.suspect = false;
+                server.answered_sent = server.answered_sent.max(now - lag);
                 server.failed.add(now, true);
                 let wait = if wait > 0 { wait as f64 } else { server.wait.max(4.0 * pressed) };
                 server.sample(now, wait, 1.0);
             }
-            (Outcome::TimedOut | Outcome::Unreachable | Outcome::Reset, _) => {
+            (Outcome::Error, Reason::LinesBusy) => {}
+            (Outcome::Error | Outcome::Reset, _) => server.failed.add(now, true),
+            (Outcome::TimedOut | Outcome::Unreachable | Outcome::Cancelled, _) => {
                 server.failed.add(now, true);
-                server.suspect = how != Outcome::Reset;
-                let wait = server.wait.max(lag as f64).max(4.0 * pressed);
-                server.sample(now, wait, 1.0);
+                if server.answered_sent <= now - lag {
+                    server.suspect = true;
+                    server.trial_pause = (2.0 * server.trial_pause).min(TRIAL_MOST);
+                }
             }
-            _ => {}
+            (Outcome::Ok, _) => {}
         }
     }
 
@@ -386,6 +450,7 @@
             return;
         }
         let (arrived, ends) = (self.now, self.now.saturating_add(call.patience));
+        let used_before = self.used_before(&call);
         let fresh = Pending {
             call,
             arrived,
@@ -394,13 +459,42 @@
             out: None,
             released: arrived,
             may_have_run: None,
-            waiting: false,
+            withdrawn: false,
+            used_before,
         };
         self.calls.insert(id, fresh);
         self.place(id, actions);
     }
 
-    fn ended(&mut self, id: CallId, attempt: u32, how: Outcome, closed: bool, actions: &mut Vec<Action>) {
+    /// Time that earlier tries of the call used. Callers who dial again wait out what is left of the
+    /// deadline, so patience beyond the usual tells it; where repeats are marked, the aim is over.
+    fn used_before(&mut self, call: &Call) -> Micros {
+        let (class, usual) = (&self.settings.classes[call.class], &mut self.usual[call.class]);
+        if call.cut || call.in_transit {
+            return 0; // A cut call starts anew; one in transit was judged where it came from.
+        }
+        if !call.redialled {
+            usual.vote(call.patience);
+        }
+        if call.patience > usual.patience + usual.patience / SPREAD {
+            return (class.deadline - call.patience).max(0);
+        }
+        if call.redialled {
+            class.aim
+        } else {
+            0
+        }
+    }
+
+    fn ended(
+        &mut self,
+        id: CallId,
+        attempt: u32,
+        how: Outcome,
+        why: Reason,
+        closed: bool,
+        actions: &mut Vec<Action>,
+    ) {
         if closed {
             return self.forget(id);
         }
@@ -417,7 +511,7 @@
             // The release rule: what the attempt tied up may still be held.
             pending.released = now + self.settings.release;
         }
-        if how == Outcome::Error {
+        if how == Outcome::Error && why == Reason::LinesBusy {
             return self.give_up(id, actions);
         }
         self.place(id, actions);
@@ -430,11 +524,11 @@
             return;
         }
         let at = self.now.max(pending.released);
-        let best = self.best(pending, at);
+        let best = self.best(pending, at, None);
         match best {
-            Some(to) if at == self.now => self.send(id, to, actions),
-            Some(_) => self.wait(id, actions),
-            None if self.may_wait(pending) => self.wait(id, actions),
+            Some((_, to)) if at == self.now => self.send(id, to, actions),
+            Some(_) => self.wait(id),
+            None if self.may_wait(pending) => self.wait(id),
             None => self.give_up(id, actions),
         }
     }
@@ -442,7 +536,7 @@
     /// Whether the call can still gain by waiting for a route to pay.
     fn may_wait(&self, pending: &Pending) -> bool {
         let class = &self.settings.classes[pending.call.class];
-        let used = (self.now.max(pending.released) - pending.arrived) as f64;
+        let used = (self.now.max(pending.released) - pending.arrived + pending.used_before) as f64;
         !pending.call.in_transit
             && used < HOLD * class.aim as f64
             && self.now < pending.ends - LOOK
@@ -450,34 +544,59 @@
             && self.servers.iter().any(|(&id, server)| self.permitted(pending, id, server))
     }
 
-    fn wait(&mut self, id: CallId, actions: &mut Vec<Action>) {
+    fn wait(&mut self, id: CallId) {
         let Some(pending) = self.calls.get(&id) else { return };
         let rank = self.rank(pending);
         self.waiting.insert(rank);
-        if let Some(pending) = self.calls.get_mut(&id) {
-            pending.waiting = true;
-        }
-        if !self.ticking {
-            self.ticking = true;
-            actions.push(Action::Timer { token: TICK, delay: LOOK });
-        }
     }
 
-    /// Looks again at the calls that wait.
-    fn review(&mut self, actions: &mut Vec<Action>) {
-        if self.waiting.is_empty() {
-            return;
+    /// Looks again at the calls that wait, and at set-ups that other routes could still save.
+    fn review(&mut self, tick: bool, actions: &mut Vec<Action>) {
+        if tick {
+            self.rescue(actions);
         }
         let waiting: Vec<CallId> = self.waiting.iter().map(|&(.., id)| id).collect();
         for id in waiting {
             self.place(id, actions);
         }
-        if !self.waiting.is_empty() && !self.ticking {
+        if !self.calls.is_empty() && !self.ticking {
             self.ticking = true;
             actions.push(Action::Timer { token: TICK, delay: LOOK });
         }
     }
 
+    /// Gives up set-ups that wait in silence, where another route is clearly better even after the
+    /// release time. Covers hung, crashed and suddenly slowed servers and set-ups lost on the way; it
+    /// could harm by moving load between servers that are all slow, hence the margin.
+    fn rescue(&mut self, actions: &mut Vec<Action>) {
+        if !self.settings.may_cancel {
+            return;
+        }
+        let mut cancelled = Vec::new();
+        for (&id, pending) in &self.calls {
+            let Some(out) = pending.out else { continue };
+            let Some(server) = self.servers.get(&out.server) else { continue };
+            let age = (self.now - out.sent) as f64 - server.base();
+            if age < self.pressed || pending.withdrawn {
+                continue;
+            }
+            let at = self.now + self.settings.release;
+            let lost = out.sent <= server.answered_sent;
+            let class = &self.settings.classes[pending.call.class];
+            // What has waited long is likely to wait as long again; what was overtaken is lost.
+            let stay = if lost { 0.0 } else { self.gain(pending, self.now, 1.0, age) };
+            let Some((score, _)) = self.best(pending, at, Some(out.server)) else { continue };
+            if score > stay + RESCUE * class.worth {
+                cancelled.push(id);
+            }
+        }
+        for id in cancelled {
+            let Some(pending) = self.calls.get_mut(&id) else { continue };
+            pending.withdrawn = true;
+            actions.push(Action::Cancel { call: id, attempt: pending.attempts - 1 });
+        }
+    }
+
     fn send(&mut self, id: CallId, to: ServerId, actions: &mut Vec<Action>) {
         let now = self.now;
         let unit = 1e6 / self.warm_rate();
@@ -490,7 +609,8 @@
         self.waiting.remove(&rank);
         let Some(pending) = self.calls.get_mut(&id) else { return };
         let Some(server) = self.servers.get_mut(&to) else { return };
-        pending.waiting = false;
+        pending.withdrawn = false;
+        server.last_sent = now;
         server.open.insert((now, id, pending.attempts));
         server.settle(now);
         server.wait += DRAIN * unit * nodes;
@@ -550,14 +670,14 @@
     }
 
     /// The route of the best score above zero for a call that would be sent at the moment `at`.
-    fn best(&self, pending: &Pending, at: Micros) -> Option<ServerId> {
+    fn best(&self, pending: &Pending, at: Micros, but: Option<ServerId>) -> Option<(f64, ServerId)> {
         if pending.attempts >= self.settings.max_attempts || at >= pending.ends {
             return None;
         }
         let near = NEAR * self.cheapest;
         let mut best: Option<(f64, ServerId)> = None;
         for (&id, server) in &self.servers {
-            if !self.permitted(pending, id, server) {
+            if but == Some(id) || !self.permitted(pending, id, server) {
                 continue;
             }
             let mut score = self.score(pending, server, at);
@@ -568,7 +688,7 @@
                 best = Some((score, id));
             }
         }
-        best.map(|(_, id)| id)
+        best
     }
 
     fn score(&self, pending: &Pending, server: &Server, at: Micros) -> f64 {
@@ -576,13 +696,19 @@
         let class = &self.settings.classes[call.class];
         let direct = server.place == call.destination;
         let cold = self.warmth(server) < 1.0;
+        let quiet = (now - server.last_sent) as f64;
         let barred = server.free.is_some_and(|free| free < call.width)
-            || cold && server.next_cold > now
-            || server.suspect && (!server.open.is_empty() || class.worth > self.cheapest);
+            || server.next_line > now
+            || cold && server.next_cold > now;
         if barred {
             return f64::NEG_INFINITY;
         }
-        let mut wait = server.expected(now);
+        // A silent server gets lone cheap trial calls: silence must not keep it out for good.
+        let silent = server.suspect || server.silence(now) > self.pressed;
+        if silent && (quiet < server.trial_pause * self.pressed || class.worth > self.cheapest) {
+            return f64::NEG_INFINITY;
+        }
+        let mut wait = if silent { 0.0 } else { server.expected(now) };
         let mut stands = 1.0 - server.failed.value(now);
         if !direct && self.settings.home.is_some() {
             // Two legs: the tandem's own refusals, and the destination's processor behind it.
@@ -592,14 +718,20 @@
                 wait += far.expected(now);
             }
         }
-        let reached = (at - pending.arrived) as f64 + server.base() + wait;
-        let (sure, lost) = CURVE;
-        let missed = ((reached / class.aim as f64 - sure) / (lost - sure)).clamp(0.0, 1.0);
-        let patience = call.patience.max(1) as f64;
-        let dropped = ((reached / patience - sure) / (lost - sure)).clamp(0.0, 1.0);
-        let late = (1.0 - dropped).min(missed);
-        let gain = class.worth * stands * ((1.0 - missed) + class.late_worth * late);
+        let gain = self.gain(pending, at, stands, server.base() + wait);
         let price = self.cheapest * (wait / self.pressed).powi(PRICE_POWER) * call.width;
         gain - price - if direct { 0.0 } else { SECOND_COST * self.cheapest }
     }
+
+    /// Expected worth of a call that meets this delay from the moment `at` on.
+    fn gain(&self, pending: &Pending, at: Micros, stands: f64, delay: f64) -> f64 {
+        let class = &self.settings.classes[pending.call.class];
+        let here = (at - pending.arrived) as f64 + delay;
+        let (sure, lost) = CURVE;
+        let missing =
+            |time: f64, limit: Micros| ((time / limit.max(1) as f64 - sure) / (lost - sure)).clamp(0.0, 1.0);
+        let missed = missing(here + pending.used_before as f64, class.aim);
+        let late = (1.0 - missing(here, pending.call.patience)).min(missed);
+        class.worth * stands * ((1.0 - missed) + class.late_worth * late)
+    }
 }
