--- a/src/bin/lemoncleat-wirehost/wire.rs
+++ b/src/bin/lemoncleat-wirehost/wire.rs
@@ -174,7 +174,7 @@
     }
 
     fn who(&self, message: &str) -> Result<u32, String> {
-        self.current.ok_or_else(|| format!("'{message}' before any 'instance' of the batch"))
+        self.current.ok_or_else(|| format!("expected 'instance' before '{message}'"))
     }
 
     fn table(&mut self, fields: &mut Fields) -> Result<(), String> {
@@ -192,7 +192,9 @@
             "healthy" => Availability::Ready,
             "cordoned" => Availability::Draining,
             "deregistered" => Availability::Gone,
-            other => return Err(format!("'server': unknown availability '{other}'")),
+            other => {
+                return Err(format!("'server': expected healthy, cordoned or deregistered, got '{other}'"))
+            }
         };
         let place = fields.number_or("place_no", -1)?;
         let zone = fields.optional("region_part")?.unwrap_or_default().to_owned();
@@ -234,7 +236,7 @@
         let instance = self
             .instances
             .get_mut(&who)
-            .ok_or_else(|| format!("'{}' for instance {who}, which was never attached", fields.message))?;
+            .ok_or_else(|| format!("'{}' for instance {who}, expected its 'attach' first", fields.message))?;
         let event = instance.event(fields, &self.tables)?;
         instance.controller.handle(now, event, &mut self.actions);
         if !self.actions.is_empty() && self.answering != Some(who) {
@@ -306,8 +308,9 @@
             return Ok(Event::Members(MemberNews::Failed));
         }
         let number: u8 = fields.number("roster_id")?;
-        let table =
-            tables.get(&number).ok_or_else(|| format!("'members' names list {number}, never sent"))?;
+        let table = tables
+            .get(&number)
+            .ok_or_else(|| format!("'members' names list {number}, expected its 'table' first"))?;
         let members = table.iter().map(|entry| self.member(entry)).collect();
         match how {
             "D" => Ok(Event::Members(MemberNews::Changes(members))),
@@ -412,7 +415,7 @@
         "ResetByPeer" => Outcome::Reset,
         "Canceled" => Outcome::Cancelled,
         "Ignored" => Outcome::Moot,
-        other => return Err(format!("unknown disposition '{other}'")),
+        other => return Err(format!("unknown disposition '{other}', expected an outcome such as Ok")),
     })
 }
 
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -47,6 +47,8 @@
 const RESCUE: f64 = 0.25;
 /// Patience within this part of the usual counts as the usual.
 const SPREAD: Micros = 32;
+/// Least pause between two log lines about a server, in microseconds.
+const LOG_PAUSE: Micros = 5_000_000;
 /// The one timer.
 const TICK: u64 = 1;
 
@@ -76,6 +78,14 @@
     }
 }
 
+/// A server's condition, as the log tells it.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Health {
+    Well,
+    Pressed,
+    Silent,
+}
+
 /// What this node knows of one server.
 struct Server {
     ready: bool,
@@ -105,6 +115,9 @@
     answered_sent: Micros,
     /// No line was free: no send before this.
     next_line: Micros,
+    /// What the log said of it last, and when.
+    logged: Health,
+    logged_at: Micros,
     /// While cold: no send before this.
     next_cold: Micros,
 }
@@ -129,6 +142,8 @@
             last_sent: now,
             answered_sent: Micros::MIN,
             next_line: now,
+            logged: Health::Well,
+            logged_at: Micros::MIN,
             next_cold: now,
         }
     }
@@ -155,9 +170,20 @@
         oldest.map_or(0.0, |&(sent, ..)| ((now - sent) as f64 - self.base()).max(0.0))
     }
 
+    fn health(&self, now: Micros, pressed: f64) -> Health {
+        if self.suspect || self.silence(now) > pressed {
+            Health::Silent
+        } else if self.expected(now) > pressed {
+            Health::Pressed
+        } else {
+            Health::Well
+        }
+    }
+
     fn sample(&mut self, now: Micros, wait: f64, gain: f64) {
         self.settle(now);
-        self.wait += gain * (wait - self.wait);
+        // Absurd figures must fade like any other.
+        self.wait += gain * (wait.clamp(0.0, AGEING) - self.wait);
     }
 }
 
@@ -388,7 +414,7 @@
             server.base = Some(base);
             server.suspect = false;
             server.trial_pause = TRIAL;
-            server.answered_sent = server.answered_sent.max(now - lag);
+            server.answered_sent = server.answered_sent.max(now.saturating_sub(lag));
             server.failed.add(now, false);
             server.turned.add(now, false);
             server.answered.add(now, false);
@@ -412,7 +438,7 @@
             (Outcome::Full, why) => {
                 let wait = if let Reason::ProcessorFull { wait } = why { wait } else { 0 };
                 server.suspect = false;
-                server.answered_sent = server.answered_sent.max(now - lag);
+                server.answered_sent = server.answered_sent.max(now.saturating_sub(lag));
                 server.failed.add(now, true);
                 let wait = if wait > 0 { wait as f64 } else { server.wait.max(4.0 * pressed) };
                 server.sample(now, wait, 1.0);
@@ -421,7 +447,7 @@
             (Outcome::Error | Outcome::Reset, _) => server.failed.add(now, true),
             (Outcome::TimedOut | Outcome::Unreachable | Outcome::Cancelled, _) => {
                 server.failed.add(now, true);
-                if server.answered_sent <= now - lag {
+                if server.answered_sent <= now.saturating_sub(lag) {
                     server.suspect = true;
                     server.trial_pause = (2.0 * server.trial_pause).min(TRIAL_MOST);
                 }
@@ -554,6 +580,7 @@
     fn review(&mut self, tick: bool, actions: &mut Vec<Action>) {
         if tick {
             self.rescue(actions);
+            self.log(actions);
         }
         let waiting: Vec<CallId> = self.waiting.iter().map(|&(.., id)| id).collect();
         for id in waiting {
@@ -565,6 +592,24 @@
         }
     }
 
+    /// Tells of servers whose condition changed, once in a while each.
+    fn log(&mut self, actions: &mut Vec<Action>) {
+        for server in self.servers.values_mut() {
+            let health = server.health(self.now, self.pressed);
+            if health == server.logged || self.now < server.logged_at.saturating_add(LOG_PAUSE) {
+                continue;
+            }
+            (server.logged, server.logged_at) = (health, self.now);
+            let wait = server.expected(self.now) / 1e3;
+            let text = match health {
+                Health::Well => "answers in time again".to_owned(),
+                Health::Pressed => format!("pressed, about {wait:.0} ms: cheap calls are held or refused"),
+                Health::Silent => format!("silent for about {wait:.0} ms: trial calls only"),
+            };
+            actions.push(Action::Log(format!("server at place {}: {text}", server.place)));
+        }
+    }
+
     /// Gives up set-ups that wait in silence, where another route is clearly better even after the
     /// release time. Covers hung, crashed and suddenly slowed servers and set-ups lost on the way; it
     /// could harm by moving load between servers that are all slow, hence the margin.
@@ -662,8 +707,7 @@
                     DedupGroup::Zone => first.zone == server.zone,
                     DedupGroup::Cell => first.place == server.place,
                 });
-                id == first && self.now - sent < class.dedup_window
-                    || same && self.now - sent < class.dedup_window
+                (id == first || same) && self.now - sent < class.dedup_window
             }
         };
         server.ready && listed && repeatable
@@ -704,7 +748,7 @@
             return f64::NEG_INFINITY;
         }
         // A silent server gets lone cheap trial calls: silence must not keep it out for good.
-        let silent = server.suspect || server.silence(now) > self.pressed;
+        let silent = server.health(now, self.pressed) == Health::Silent;
         if silent && (quiet < server.trial_pause * self.pressed || class.worth > self.cheapest) {
             return f64::NEG_INFINITY;
         }
--- /dev/null
+++ b/tests/module.rs
@@ -0,0 +1,327 @@
+//! The decisions, one test for each failure that was found or feared.
+
+mod common;
+
+use common::{answered, call, member, sent, settings, Node, MS, S};
+use lemoncleat::{
+    Action, Availability, Call, CallId, Class, Controller, DedupGroup, Effect, Event, MemberNews, Membership,
+    Outcome, Reason, Report, ServerId, Settings,
+};
+
+#[test]
+fn the_first_choice_takes_a_call_while_nothing_speaks_against_it() {
+    let mut node = Node::new(settings(), 3);
+    for (id, place) in [(1, 0), (2, 1), (3, 2)] {
+        assert_eq!(sent(&node.call(id, 0, place)), Some(place as u32));
+    }
+}
+
+#[test]
+fn a_call_is_refused_at_once_where_no_server_can_take_it() {
+    let mut empty = Node::new(settings(), 0);
+    assert!(answered(&empty.call(1, 0, 0), 1));
+
+    let mut limited = settings();
+    limited.classes[0].allowed = Some(vec![7]);
+    let mut skilled = Node::new(limited, 3);
+    assert!(answered(&skilled.call(1, 0, 0), 1), "no listed pool has the skill");
+    assert!(sent(&skilled.call(2, 1, 0)).is_some(), "the other class may go anywhere");
+}
+
+#[test]
+fn a_call_out_of_attempts_is_answered_at_once() {
+    let mut node = Node::new(Settings { max_attempts: 1, ..settings() }, 2);
+    let server = sent(&node.call(1, 0, 0)).expect("a send");
+    let actions = node.ended(1, 0, server, Outcome::Unreachable, Reason::None);
+    assert!(answered(&actions, 1));
+}
+
+#[test]
+fn a_refused_attempt_goes_to_another_server_at_once() {
+    let mut node = Node::new(settings(), 2);
+    assert_eq!(sent(&node.call(1, 0, 0)), Some(0));
+    let full = Reason::ProcessorFull { wait: 3 * S };
+    assert_eq!(sent(&node.ended(1, 0, 0, Outcome::Full, full)), Some(1));
+    assert_eq!(sent(&node.call(2, 0, 0)), Some(1), "the told wait keeps later calls away as well");
+}
+
+#[test]
+fn a_busy_number_ends_the_call() {
+    let mut node = Node::new(settings(), 2);
+    node.call(1, 0, 0);
+    let actions = node.ended(1, 0, 0, Outcome::Error, Reason::LinesBusy);
+    assert!(answered(&actions, 1));
+    assert_eq!(sent(&actions), None);
+}
+
+#[test]
+fn under_pressure_cheap_calls_go_first_and_dear_ones_pass() {
+    let mut node = Node::new(settings(), 1);
+    node.served(1, 5, 0, 20 * MS, 50 * MS);
+    for id in 10..16 {
+        node.call(id, 1, 0);
+    }
+    node.pass(200 * MS);
+    for id in 10..16 {
+        node.started(id, 0, 0, 420 * MS);
+    }
+    assert_eq!(sent(&node.call(20, 0, 0)), None, "a cheap call does not pay for its work");
+    assert!(sent(&node.call(21, 1, 0)).is_some(), "a dear one does");
+}
+
+#[test]
+fn a_wait_to_send_ends_with_refusal_before_the_aim_is_lost() {
+    let mut node = Node::new(settings(), 1);
+    node.call(1, 0, 0);
+    let full = Reason::ProcessorFull { wait: 20 * S };
+    node.ended(1, 0, 0, Outcome::Full, full);
+    let actions = node.call(2, 0, 0);
+    assert!(sent(&actions).is_none() && !answered(&actions, 2), "it waits at the node");
+    assert!(answered(&node.pass(1_200 * MS), 2));
+}
+
+#[test]
+fn a_hung_server_is_left_and_its_calls_are_saved() {
+    let mut node = Node::new(settings(), 2);
+    node.served(1, 3, 0, 20 * MS, 20 * MS);
+    node.served(11, 3, 1, 20 * MS, 20 * MS);
+    assert_eq!(sent(&node.call(20, 1, 0)), Some(0));
+    let actions = node.pass(600 * MS);
+    let cancel = Action::Cancel { call: CallId(20), attempt: 0 };
+    assert!(actions.contains(&cancel), "noticed long before any time-out");
+    node.ended(20, 0, 0, Outcome::Cancelled, Reason::None);
+    assert_eq!(sent(&node.pass(290 * MS)), None, "the release is awaited");
+    assert_eq!(sent(&node.pass(20 * MS)), Some(1));
+    assert_eq!(sent(&node.call(21, 1, 0)), Some(1), "dear calls keep away from it");
+}
+
+#[test]
+fn a_recovered_server_is_found_by_cheap_trials() {
+    let mut node = Node::new(settings(), 1);
+    node.call(1, 0, 0);
+    node.pass(3 * S);
+    node.ended(1, 0, 0, Outcome::TimedOut, Reason::None);
+    let mut tried = None;
+    for id in 10..200 {
+        node.pass(100 * MS);
+        if sent(&node.call(id, 0, 0)).is_some() {
+            tried = Some(id);
+            break;
+        }
+    }
+    let id = tried.expect("a trial within 19 s");
+    node.pass(20 * MS);
+    node.started(id, 0, 0, 20 * MS);
+    assert!(sent(&node.call(300, 1, 0)).is_some(), "one answer clears it");
+}
+
+#[test]
+fn a_lost_set_up_does_not_shut_out_a_server_that_answers_later_ones() {
+    let mut node = Node::new(Settings { may_cancel: false, ..settings() }, 1);
+    node.served(1, 3, 0, 20 * MS, 20 * MS);
+    node.call(10, 0, 0); // never answered
+    node.pass(100 * MS);
+    node.call(11, 0, 0);
+    node.pass(20 * MS);
+    node.started(11, 0, 0, 20 * MS);
+    node.pass(S);
+    assert_eq!(sent(&node.call(12, 1, 0)), Some(0));
+}
+
+#[test]
+fn a_lost_set_up_everywhere_does_not_stop_the_node() {
+    // Incident if5bc97: one lost set-up at each server, and nothing was sent for nine seconds.
+    let mut node = Node::new(Settings { may_cancel: false, ..settings() }, 3);
+    for place in 0..3 {
+        node.call(place as u64 + 1, 0, place);
+    }
+    node.pass(S);
+    assert!(sent(&node.call(10, 0, 0)).is_some());
+}
+
+#[test]
+fn a_second_or_later_try_is_worth_less_under_pressure() {
+    let mut node = Node::new(settings(), 1);
+    node.served(1, 5, 0, 20 * MS, 50 * MS);
+    for id in 10..16 {
+        node.call(id, 1, 0);
+    }
+    node.pass(150 * MS);
+    for id in 10..16 {
+        node.started(id, 0, 0, 200 * MS);
+    }
+    let again = Call { patience: 7 * S, ..call(20, 0, 0) };
+    assert!(answered(&node.handle(Event::Call(again)), 20), "two seconds are gone already");
+    assert!(!answered(&node.call(21, 0, 0), 21));
+}
+
+#[test]
+fn nothing_goes_to_a_draining_or_gone_server() {
+    for state in [Availability::Draining, Availability::Gone] {
+        let mut node = Node::new(settings(), 2);
+        node.change(0, state, None);
+        for id in 1..20 {
+            assert_ne!(sent(&node.call(id, 0, 0)), Some(0));
+        }
+    }
+    let mut node = Node::new(settings(), 2);
+    node.handle(Event::Members(MemberNews::Complete(vec![member(1, Availability::Ready, None)])));
+    assert_ne!(sent(&node.call(1, 0, 0)), Some(0), "missing from a complete list is gone");
+    node.handle(Event::Members(MemberNews::Complete(Vec::new())));
+    assert!(answered(&node.call(2, 0, 0), 2), "a list shrunk to nothing");
+}
+
+#[test]
+fn a_drain_stops_further_attempts_and_calls_that_wait() {
+    let mut node = Node::new(settings(), 1);
+    node.call(1, 0, 0);
+    node.change(0, Availability::Draining, None);
+    let actions = node.ended(1, 0, 0, Outcome::Unreachable, Reason::None);
+    assert!(answered(&actions, 1) && sent(&actions).is_none());
+}
+
+#[test]
+fn a_cold_server_gets_a_smooth_share() {
+    let cold = Settings { balancers: 5, ..settings() };
+    let mut node = Node::new(cold, 1);
+    let started = Some(node.now);
+    node.change(0, Availability::Ready, started);
+    let mut sends = 0;
+    for id in 1..=300 {
+        let actions = node.call(id, 1, 0);
+        let late = node.pass(10 * MS);
+        for action in actions.iter().chain(&late) {
+            if let Action::Send { call, .. } = action {
+                sends += 1;
+                node.started(call.0, 0, 0, 10 * MS);
+            }
+        }
+    }
+    // Three seconds; a node that knows nothing yet takes ten a second for the whole of a warm server.
+    assert!((1..=4).contains(&sends), "{sends} sends");
+}
+
+#[test]
+fn a_restart_under_the_same_name_is_cold_again() {
+    let mut node = Node::new(Settings { balancers: 5, ..settings() }, 1);
+    assert_eq!(sent(&node.call(1, 1, 0)), Some(0));
+    node.started(1, 0, 0, 10 * MS);
+    let started = Some(node.now);
+    node.change(0, Availability::Ready, started);
+    let burst = (10..40).filter(|&id| sent(&node.call(id, 1, 0)).is_some()).count();
+    assert!(burst <= 1, "{burst} sends at once");
+}
+
+#[test]
+fn no_line_free_sends_elsewhere() {
+    let mut node = Node::new(settings(), 2);
+    let report = Report { free: Some(0.0), lines: Some(10.0), ..Report::default() };
+    node.handle(Event::Probed { server: ServerId(0), outcome: Outcome::Ok, lag: 0, report });
+    assert_eq!(sent(&node.call(1, 0, 0)), Some(1));
+}
+
+#[test]
+fn a_mesh_takes_the_direct_route_then_a_tandem_and_never_its_own_exchange() {
+    let mut node = Node::new(Settings { home: Some(2), ..settings() }, 4);
+    assert_eq!(sent(&node.call(1, 0, 0)), Some(0));
+    let none = Report { free: Some(0.0), lines: Some(5.0), ..Report::default() };
+    node.handle(Event::Probed { server: ServerId(0), outcome: Outcome::Ok, lag: 0, report: none });
+    let tandem = sent(&node.call(2, 0, 0)).expect("a two-leg route");
+    assert!(tandem == 1 || tandem == 3);
+    let transit = Call { in_transit: true, ..call(3, 0, 0) };
+    let actions = node.handle(Event::Call(transit));
+    assert!(answered(&actions, 3) && sent(&actions).is_none(), "in transit: the destination or back");
+    let transit = Call { in_transit: true, ..call(4, 0, 1) };
+    assert_eq!(sent(&node.handle(Event::Call(transit))), Some(1));
+    for id in 10..20 {
+        assert_ne!(sent(&node.call(id, 0, 2)), Some(2));
+    }
+}
+
+#[test]
+fn what_may_have_run_is_not_run_twice() {
+    let with = |effect, dedup_group| {
+        let base = settings();
+        let class = Class { effect, dedup_group, dedup_window: 5 * S, ..base.classes[0].clone() };
+        Node::new(Settings { classes: vec![class], ..base }, 2)
+    };
+    let mut fragile = with(Effect::Fragile, DedupGroup::All);
+    let server = sent(&fragile.call(1, 0, 0)).expect("a send");
+    let actions = fragile.ended(1, 0, server, Outcome::Reset, Reason::None);
+    assert_eq!(actions.iter().find(|a| !matches!(a, Action::Timer { .. })), Some(&Action::Fail(CallId(1))));
+
+    let mut unrun = with(Effect::Fragile, DedupGroup::All);
+    unrun.call(1, 0, 0);
+    assert_eq!(sent(&unrun.ended(1, 0, 0, Outcome::Unreachable, Reason::None)), Some(1), "it never ran");
+
+    let mut cell = with(Effect::Dedup, DedupGroup::Cell);
+    cell.call(1, 0, 0);
+    cell.ended(1, 0, 0, Outcome::Reset, Reason::None);
+    let later = cell.pass(2 * S);
+    assert_ne!(sent(&later), Some(1), "only its own place discards a repeat");
+    assert!(!later.iter().any(|action| matches!(action, Action::Refuse { .. })));
+}
+
+#[test]
+fn a_failed_subscription_is_asked_again() {
+    let settings = Settings { membership: Membership::Subscribe, ..settings() };
+    let mut node = Node { controller: Controller::new(settings, 1).expect("usable"), now: 0 };
+    let first = node.handle(Event::Members(MemberNews::Complete(Vec::new())));
+    assert!(first.contains(&Action::Watch(true)));
+    node.handle(Event::Members(MemberNews::Failed));
+    node.now = 5 * S;
+    assert!(node.handle(Event::Timer(9)).contains(&Action::Watch(true)));
+}
+
+#[test]
+fn events_about_the_unknown_are_ignored() {
+    let mut node = Node::new(settings(), 1);
+    assert!(node.started(99, 0, 7, S).is_empty());
+    assert!(node.ended(99, 3, 7, Outcome::TimedOut, Reason::None).is_empty());
+    assert!(node.handle(Event::CallerGone(CallId(99))).is_empty());
+    assert!(node.handle(Event::Note { from: 77, bytes: vec![255; 256] }).is_empty());
+    assert!(node.handle(Event::Note { from: 0, bytes: Vec::new() }).is_empty());
+    node.call(1, 0, 0);
+    node.handle(Event::CallerGone(CallId(1)));
+    assert_eq!(sent(&node.ended(1, 0, 0, Outcome::Reset, Reason::None)), None, "the call is over");
+    let unclassed = Call { class: 9, ..call(2, 0, 0) };
+    assert!(answered(&node.handle(Event::Call(unclassed)), 2));
+}
+
+#[test]
+fn absurd_figures_leave_decisions_sane() {
+    let mut node = Node::new(settings(), 1);
+    for figure in [f64::NAN, f64::INFINITY, -5.0, 1e300] {
+        let report = Report { queue: Some(figure), busy: Some(figure), ..Report::default() };
+        node.handle(Event::Probed { server: ServerId(0), outcome: Outcome::Ok, lag: 0, report });
+    }
+    let report = Report { wait: Some(i64::MAX), ..Report::default() };
+    node.handle(Event::Probed { server: ServerId(0), outcome: Outcome::Ok, lag: 0, report });
+    node.now = 0; // a clock that went back
+    node.call(1, 0, 0);
+    node.started(1, 0, 0, i64::MAX);
+    node.now = 400 * S;
+    assert!(sent(&node.call(2, 0, 0)).is_some(), "evidence fades, whatever it said");
+    let wide = Call { width: f64::NAN, patience: i64::MAX, ..call(3, 0, 0) };
+    node.handle(Event::Call(wide));
+    let zero = Call { patience: 0, ..call(4, 0, 0) };
+    assert!(answered(&node.handle(Event::Call(zero)), 4));
+}
+
+#[test]
+fn unusable_settings_are_an_error() {
+    assert!(Controller::new(Settings::default(), 0).is_err(), "no classes");
+    let spoil: [fn(&mut Settings); 5] = [
+        |settings| settings.balancers = 0,
+        |settings| settings.classes[0].aim = 0,
+        |settings| settings.classes[0].worth = f64::NAN,
+        |settings| settings.release = -1,
+        |settings| settings.cold_from = 0.0,
+    ];
+    for change in spoil {
+        let mut bad = settings();
+        change(&mut bad);
+        assert!(Controller::new(bad, 0).is_err());
+    }
+    assert!(Controller::new(settings(), 0).is_ok());
+}
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,332 @@
+//! The five rules under arbitrary legal orders of events.
+
+mod common;
+
+use std::collections::BTreeMap;
+
+use common::{call, member, settings, MS, S};
+use lemoncleat::{
+    Action, Availability, Call, CallId, Controller, Event, MemberNews, Micros, Outcome, Reason, Report,
+    ServerId, Settings,
+};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+const SERVERS: u32 = 3;
+
+/// What may happen next; numbers choose among what is possible at that moment.
+#[derive(Clone, Debug)]
+enum Step {
+    Pass(Micros),
+    Call { class: usize, destination: i64, patience: Micros, bits: u8 },
+    Start(usize),
+    End(usize, Outcome, Reason),
+    Leave(usize),
+    Change(u32, Availability, bool),
+    Complete(u8),
+    Free(u32, f64),
+    Note(Vec<u8>),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let outcome = prop_oneof![
+        Just((Outcome::Full, Reason::NoCircuit)),
+        Just((Outcome::Full, Reason::ProcessorFull { wait: 700 * MS })),
+        Just((Outcome::Full, Reason::TurnedBack { far_processor: true })),
+        Just((Outcome::Error, Reason::None)),
+        Just((Outcome::Error, Reason::LinesBusy)),
+        Just((Outcome::Unreachable, Reason::None)),
+        Just((Outcome::Reset, Reason::None)),
+        Just((Outcome::Moot, Reason::None)),
+    ];
+    let state =
+        prop_oneof![Just(Availability::Ready), Just(Availability::Draining), Just(Availability::Gone)];
+    prop_oneof![
+        4 => (0..900 * MS).prop_map(Step::Pass),
+        6 => (0usize..2, 0i64..4, 1..4 * S, 0u8..8)
+            .prop_map(|(class, destination, patience, bits)| Step::Call { class, destination, patience, bits }),
+        4 => any::<usize>().prop_map(Step::Start),
+        4 => (any::<usize>(), outcome).prop_map(|(at, (how, why))| Step::End(at, how, why)),
+        1 => any::<usize>().prop_map(Step::Leave),
+        2 => (0..SERVERS, state, any::<bool>()).prop_map(|(server, state, fresh)| Step::Change(server, state, fresh)),
+        1 => any::<u8>().prop_map(Step::Complete),
+        1 => (0..SERVERS, -1.0..9.0f64).prop_map(|(server, free)| Step::Free(server, free)),
+        1 => proptest::collection::vec(any::<u8>(), 0..20).prop_map(Step::Note),
+    ]
+}
+
+struct Attempt {
+    call: u64,
+    number: u32,
+    server: u32,
+    sent: Micros,
+    ends: Micros,
+    cancelled: bool,
+}
+
+#[derive(Default)]
+struct Owed {
+    ends: Micros,
+    attempts: u32,
+    /// No send before this.
+    released: Micros,
+}
+
+/// A host that keeps the books of the rules.
+struct Host {
+    controller: Controller,
+    settings: Settings,
+    now: Micros,
+    timers: Vec<(Micros, u64)>,
+    owed: BTreeMap<u64, Owed>,
+    out: Vec<Attempt>,
+    standing: Vec<Attempt>,
+    states: BTreeMap<u32, Availability>,
+    cold_since: BTreeMap<u32, Micros>,
+    cold_sends: BTreeMap<u32, Vec<Micros>>,
+    next: u64,
+}
+
+impl Host {
+    fn new(settings: Settings, seed: u64) -> Self {
+        let controller = Controller::new(settings.clone(), seed).expect("usable settings");
+        let states = (0..SERVERS).map(|server| (server, Availability::Ready)).collect();
+        let mut host = Host {
+            controller,
+            settings,
+            now: 50 * S,
+            timers: Vec::new(),
+            owed: BTreeMap::new(),
+            out: Vec::new(),
+            standing: Vec::new(),
+            states,
+            cold_since: BTreeMap::new(),
+            cold_sends: BTreeMap::new(),
+            next: 0,
+        };
+        let members = (0..SERVERS).map(|server| member(server, Availability::Ready, None)).collect();
+        host.tell(Event::Members(MemberNews::Complete(members)));
+        host
+    }
+
+    fn tell(&mut self, event: Event) {
+        let mut actions = Vec::new();
+        self.controller.handle(self.now, event, &mut actions);
+        for action in actions {
+            self.act(action);
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Send { call: CallId(call), server: ServerId(server), .. } => {
+                assert!(self.out.iter().all(|out| out.call != call), "rule 2: two attempts out");
+                let owed = self.owed.get_mut(&call).expect("rule 1: a send for a call that is over");
+                assert_eq!(self.states[&server], Availability::Ready, "rule 3: sent to {server}");
+                assert!(self.now >= owed.released, "rule 5: sent before the release");
+                assert!(owed.attempts < self.settings.max_attempts);
+                let (number, sent, ends) = (owed.attempts, self.now, owed.ends);
+                owed.attempts += 1;
+                self.out.push(Attempt { call, number, server, sent, ends, cancelled: false });
+                self.cold_send(server);
+            }
+            Action::Refuse { call, .. } | Action::Fail(call) => {
+                assert!(self.owed.remove(&call.0).is_some(), "rule 1: a second answer");
+                assert!(self.out.iter().all(|out| out.call != call.0), "answered with an attempt out");
+            }
+            Action::Cancel { call, attempt } => {
+                let found = self.out.iter_mut().find(|out| (out.call, out.number) == (call.0, attempt));
+                if let Some(out) = found {
+                    out.cancelled = true;
+                }
+            }
+            Action::Timer { token, delay } => self.timers.push((self.now + delay.max(1), token)),
+            Action::Tell { bytes, .. } => assert!(self.settings.may_tell && bytes.len() <= 256),
+            Action::Probe(_) => assert!(self.settings.may_probe),
+            Action::Log(_) | Action::Watch(_) | Action::Fetch => {}
+        }
+    }
+
+    /// Rule 4: this node's part of what a cold server may be sent in any window, judged by a server
+    /// that does 10 a second when warm, which is the least that the controller assumes.
+    fn cold_send(&mut self, server: u32) {
+        let Some(&since) = self.cold_since.get(&server) else { return };
+        if self.now - since >= self.settings.cold_span {
+            return;
+        }
+        let sends = self.cold_sends.entry(server).or_default();
+        sends.push(self.now);
+        let from = self.now - self.settings.fall_span;
+        let window = sends.iter().filter(|&&sent| sent > from).count() as f64;
+        let rate = 10.0 * self.settings.cold_from * self.settings.fall_multiple;
+        let part = rate * self.settings.fall_span as f64 / 1e6 / f64::from(self.settings.balancers);
+        assert!(window <= part.max(1.0) + 1.0, "rule 4: {window} sends of {part} in a window");
+    }
+
+    /// Time goes by: timers come due, attempts end at the caller's deadline or once cancelled.
+    fn pass(&mut self, span: Micros) {
+        let end = self.now + span;
+        loop {
+            let timer = self.timers.iter().map(|&(due, _)| due).min().unwrap_or(Micros::MAX);
+            let over = self.out.iter().map(|out| out.ends).min().unwrap_or(Micros::MAX);
+            let cancelled = self.out.iter().any(|out| out.cancelled);
+            let next = if cancelled { self.now + MS } else { timer.min(over) };
+            if next > end {
+                break;
+            }
+            self.now = self.now.max(next);
+            if let Some(at) = self.out.iter().position(|out| out.cancelled) {
+                self.end(at, Outcome::Cancelled, Reason::None);
+            } else if let Some(at) = self.out.iter().position(|out| out.ends <= self.now) {
+                self.end(at, Outcome::TimedOut, Reason::None);
+            } else if let Some(at) = self.timers.iter().position(|&(due, _)| due <= self.now) {
+                let (_, token) = self.timers.remove(at);
+                self.tell(Event::Timer(token));
+            }
+            self.check_deadlines();
+        }
+        self.now = end;
+        self.check_deadlines();
+    }
+
+    fn check_deadlines(&self) {
+        let slack = 20 * MS;
+        assert!(self.owed.values().all(|owed| self.now <= owed.ends + slack), "rule 1: no answer in time");
+    }
+
+    fn end(&mut self, at: usize, outcome: Outcome, reason: Reason) {
+        let gone = self.out.remove(at);
+        if let Some(owed) = self.owed.get_mut(&gone.call) {
+            if matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled) {
+                owed.released = self.now + self.settings.release;
+            }
+        }
+        let closed = !self.owed.contains_key(&gone.call);
+        self.outcome(gone, outcome, reason, closed);
+    }
+
+    fn outcome(&mut self, gone: Attempt, outcome: Outcome, reason: Reason, closed: bool) {
+        let (call, server) = (CallId(gone.call), ServerId(gone.server));
+        let (attempt, lag, report) = (gone.number, self.now - gone.sent, Report::default());
+        self.tell(Event::Ended { call, attempt, server, outcome, lag, closed, reason, report });
+    }
+
+    fn step(&mut self, step: Step) {
+        match step {
+            Step::Pass(span) => self.pass(span),
+            Step::Call { class, destination, patience, bits } => {
+                self.next += 1;
+                let id = self.next;
+                self.owed.insert(id, Owed { ends: self.now + patience, ..Owed::default() });
+                let (redialled, cut, in_transit) = (bits & 1 > 0, bits & 2 > 0, bits & 4 > 0);
+                let in_transit = in_transit && self.settings.home.is_some();
+                let base = call(id, class, destination);
+                self.tell(Event::Call(Call { patience, redialled, cut, in_transit, ..base }));
+            }
+            Step::Start(at) if !self.out.is_empty() => {
+                let out = self.out.remove(at % self.out.len());
+                let lag = self.now - out.sent;
+                self.owed.remove(&out.call);
+                let (call, server) = (CallId(out.call), ServerId(out.server));
+                self.tell(Event::Started { call, attempt: out.number, server, lag });
+                self.standing.push(out);
+            }
+            Step::End(at, outcome, reason) => {
+                if at % 2 == 0 && !self.standing.is_empty() {
+                    let gone = self.standing.remove(at % self.standing.len());
+                    self.outcome(gone, Outcome::Ok, Reason::None, true);
+                } else if !self.out.is_empty() {
+                    self.end(at % self.out.len(), outcome, reason);
+                }
+            }
+            Step::Leave(at) if !self.owed.is_empty() => {
+                let id = self.owed.keys().nth(at % self.owed.len()).copied().expect("an owed call");
+                self.owed.remove(&id);
+                self.tell(Event::CallerGone(CallId(id)));
+            }
+            Step::Start(_) | Step::Leave(_) => {}
+            Step::Change(server, state, fresh) => {
+                self.states.insert(server, state);
+                let started = (fresh && state == Availability::Ready).then_some(self.now);
+                if let Some(started) = started {
+                    self.cold_since.insert(server, started);
+                    self.cold_sends.remove(&server);
+                }
+                let started = self.cold_since.get(&server).copied();
+                self.tell(Event::Members(MemberNews::Changes(vec![member(server, state, started)])));
+            }
+            Step::Complete(mask) => {
+                let mut members = Vec::new();
+                for server in 0..SERVERS {
+                    let there = mask & (1 << server) != 0;
+                    let state = if there { Availability::Ready } else { Availability::Gone };
+                    self.states.insert(server, state);
+                    if there {
+                        members.push(member(server, state, self.cold_since.get(&server).copied()));
+                    }
+                }
+                self.tell(Event::Members(MemberNews::Complete(members)));
+            }
+            Step::Free(server, free) => {
+                let report = Report { free: (free >= 0.0).then_some(free), ..Report::default() };
+                self.tell(Event::Probed { server: ServerId(server), outcome: Outcome::Ok, lag: 0, report });
+            }
+            Step::Note(bytes) => self.tell(Event::Note { from: 1, bytes }),
+        }
+        self.check_deadlines();
+    }
+}
+
+/// Plays random days, always the same ones, and at their end waits for every answer.
+fn play(settings: &Settings) {
+    let config = Config { cases: 300, failure_persistence: None, ..Config::default() };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let days = (any::<u64>(), proptest::collection::vec(step(), 1..150));
+    let outcome = runner.run(&days, |(seed, steps)| {
+        let mut host = Host::new(settings.clone(), seed);
+        for step in steps {
+            host.step(step);
+        }
+        host.pass(10 * S);
+        prop_assert!(host.owed.is_empty(), "rule 1: calls without an answer");
+        Ok(())
+    });
+    if let Err(error) = outcome {
+        panic!("{error}");
+    }
+}
+
+#[test]
+fn the_rules_hold_before_pools() {
+    play(&Settings { balancers: 4, may_tell: true, may_probe: true, ..settings() });
+}
+
+#[test]
+fn the_rules_hold_in_a_mesh() {
+    play(&Settings { balancers: 4, home: Some(3), ..settings() });
+}
+
+#[test]
+fn the_rules_hold_for_a_lone_node_with_nothing_allowed() {
+    play(&Settings { may_cancel: false, repeat: 0, max_attempts: 6, ..settings() });
+}
+
+#[test]
+fn the_same_events_and_seed_give_the_same_actions() {
+    let day = || {
+        let mut controller = Controller::new(settings(), 5).expect("usable settings");
+        let mut actions = Vec::new();
+        let members = (0..SERVERS).map(|server| member(server, Availability::Ready, None)).collect();
+        controller.handle(0, Event::Members(MemberNews::Complete(members)), &mut actions);
+        for id in 0..200 {
+            let now = id as Micros * 7 * MS;
+            controller.handle(now, Event::Call(call(id, (id % 2) as usize, (id % 3) as i64)), &mut actions);
+            controller.handle(now, Event::Timer(1), &mut actions);
+        }
+        actions
+    };
+    let first = day();
+    assert!(first.len() > 200);
+    assert_eq!(first, day());
+}
