--- a/src/decide.rs
+++ b/src/decide.rs
@@ -658,7 +658,7 @@
         server.last_sent = now;
         server.open.insert((now, id, pending.attempts));
         server.settle(now);
-        server.wait += DRAIN * unit * nodes;
+        server.wait += DRAIN * unit.min(server.base()) * nodes;
         server.free = server.free.map(|free| free - pending.call.width);
         if cold < 1.0 {
             server.next_cold = now + spacing as Micros;
