Tried: HOLD 0.3 of the aim instead of 0.5

Expected fewer late calls. A shorter wait at the node refuses calls that a moment later would have stood.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -16,7 +16,7 @@
 /// Share of the aim up to which a call is sure to stand, and at which it is sure not to.
 const CURVE: (f64, f64) = (0.7, 1.2);
 /// Pressed wait as a share of `repeat`: beyond `repeat` a waiting set-up makes more work.
-const PRESSED: f64 = 0.75;
+const PRESSED: f64 = 0.5;
 /// Pressed wait as a share of the shortest aim, where set-ups are not repeated.
 const PRESSED_OF_AIM: f64 = 0.3;
 /// Growth of the price of work with the wait; at the pressed wait it is the cheapest worth.
@@ -30,7 +30,7 @@
 /// Outcomes that stand for no evidence, so that a share fades as its outcomes age.
 const PRIOR: f64 = 2.0;
 /// Share of the aim that a call may spend waiting at the node to be sent.
-const HOLD: f64 = 0.5;
+const HOLD: f64 = 0.3;
 /// Pause between two looks at waiting calls, in microseconds.
 const LOOK: Micros = 10_000;
 /// Share of a cold server's estimated capacity that all nodes together send it.
