--- a/src/decide.rs
+++ b/src/decide.rs
@@ -30,7 +30,7 @@
 /// Outcomes that stand for no evidence, so that a share fades as its outcomes age.
 const PRIOR: f64 = 2.0;
 /// Share of the aim that a call may spend waiting at the node to be sent.
-const HOLD: f64 = 0.3;
+const HOLD: f64 = 0.5;
 /// Pause between two looks at waiting calls, in microseconds.
 const LOOK: Micros = 10_000;
 /// Share of a cold server's estimated capacity that all nodes together send it.
