--- a/src/decide.rs
+++ b/src/decide.rs
@@ -22,7 +22,7 @@
 /// Growth of the price of work with the wait; at the pressed wait it is the cheapest worth.
 const PRICE_POWER: i32 = 2;
 /// How much of a new wait sample goes into the estimate.
-const GAIN: f64 = 0.5;
+const GAIN: f64 = 0.35;
 /// How fast an estimated wait drains while nothing is heard, per unit of time.
 const DRAIN: f64 = 0.5;
 /// Time over which outcomes age, in microseconds (about ten seconds, as the design page has it).
@@ -30,7 +30,7 @@
 /// Outcomes that stand for no evidence, so that a share fades as its outcomes age.
 const PRIOR: f64 = 2.0;
 /// Share of the aim that a call may spend waiting at the node to be sent.
-const HOLD: f64 = 0.5;
+const HOLD: f64 = 0.65;
 /// Pause between two looks at waiting calls, in microseconds.
 const LOOK: Micros = 10_000;
 /// Share of a cold server's estimated capacity that all nodes together send it.
