--- a/src/decide.rs
+++ b/src/decide.rs
@@ -22,7 +22,7 @@
 /// Growth of the price of work with the wait; at the pressed wait it is the cheapest worth.
 const PRICE_POWER: i32 = 2;
 /// How much of a new wait sample goes into the estimate.
-const GAIN: f64 = 0.35;
+const GAIN: f64 = 0.5;
 /// How fast an estimated wait drains while nothing is heard, per unit of time.
 const DRAIN: f64 = 0.5;
 /// Time over which outcomes age, in microseconds (about ten seconds, as the design page has it).
