Tried: notes to peers that only end a silence, no wait taken

A server that answered somebody is not one that has room; silence as each node sees it holds load back where servers are slow.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -52,7 +52,7 @@
 /// Least pause between two notes to the other nodes, in microseconds.
 const NOTE_PAUSE: Micros = 150_000;
 /// Weight of a peer's measured wait against an own one.
-const PEER_WEIGHT: f64 = 0.6;
+const PEER_WEIGHT: f64 = 0.0;
 /// Version of the notes; others are ignored.
 const NOTE_VERSION: u8 = 1;
 /// Bytes for each server in a note: place, wait and lag in milliseconds, two bytes each.
