--- a/src/decide.rs
+++ b/src/decide.rs
@@ -49,14 +49,6 @@
 const SPREAD: Micros = 32;
 /// Least pause between two log lines about a server, in microseconds.
 const LOG_PAUSE: Micros = 5_000_000;
-/// Least pause between two notes to the other nodes, in microseconds.
-const NOTE_PAUSE: Micros = 150_000;
-/// Weight of a peer's measured wait against an own one.
-const PEER_WEIGHT: f64 = 0.0;
-/// Version of the notes; others are ignored.
-const NOTE_VERSION: u8 = 1;
-/// Bytes for each server in a note: place, wait and lag in milliseconds, two bytes each.
-const NOTE_BYTES: usize = 6;
 /// The one timer.
 const TICK: u64 = 1;
 
@@ -123,8 +115,6 @@
     answered_sent: Micros,
     /// No line was free: no send before this.
     next_line: Micros,
-    /// The last own answer not yet told to the other nodes: wait and lag.
-    news: Option<(f64, Micros)>,
     /// What the log said of it last, and when.
     logged: Health,
     logged_at: Micros,
@@ -152,7 +142,6 @@
             last_sent: now,
             answered_sent: Micros::MIN,
             next_line: now,
-            news: None,
             logged: Health::Well,
             logged_at: Micros::MIN,
             next_cold: now,
@@ -251,7 +240,6 @@
     waiting: BTreeSet<(Reverse<u64>, Micros, CallId)>,
     usual: Vec<Usual>,
     random: u64,
-    noted_at: Micros,
     ticking: bool,
     watched: bool,
     now: Micros,
@@ -304,7 +292,6 @@
             calls: BTreeMap::new(),
             waiting: BTreeSet::new(),
             random: seed,
-            noted_at: 0,
             ticking: false,
             watched: false,
             now: 0,
@@ -337,10 +324,9 @@
             }
             Event::Timer(_) => {}
             Event::Probed { server, report, .. } => self.report(server, &report),
-            Event::Note { bytes, .. } => self.note(&bytes),
+            Event::Note { .. } => {}
         }
         self.review(tick, actions);
-        self.tell(actions);
     }
 
     fn chance(&mut self) -> f64 {
@@ -433,7 +419,6 @@
             server.turned.add(now, false);
             server.answered.add(now, false);
             server.sample(now, (lag - base) as f64, GAIN);
-            server.news = Some(((lag - base) as f64, lag));
         }
         self.forget(call);
     }
@@ -471,47 +456,6 @@
         }
     }
 
-    /// Tells the other nodes the waits that answers just showed: they are measured, never estimates,
-    /// so that a rumour cannot feed itself.
-    fn tell(&mut self, actions: &mut Vec<Action>) {
-        if !self.settings.may_tell || self.settings.home.is_some() || self.now - self.noted_at < NOTE_PAUSE {
-            return;
-        }
-        let mut bytes = vec![NOTE_VERSION];
-        for server in self.servers.values_mut() {
-            let (Ok(place), Some((wait, lag))) = (u16::try_from(server.place), server.news) else { continue };
-            if bytes.len() + NOTE_BYTES > 256 {
-                break;
-            }
-            server.news = None;
-            let ms = |time: f64| (time / 1e3).clamp(0.0, f64::from(u16::MAX)) as u16;
-            for part in [place, ms(wait), ms(lag as f64)] {
-                bytes.extend(part.to_be_bytes());
-            }
-        }
-        if bytes.len() > 1 {
-            self.noted_at = self.now;
-            actions.push(Action::Tell { to: None, bytes });
-        }
-    }
-
-    /// Takes in a peer's note. What is malformed, of another version or about unknown places is passed
-    /// over; a lost note costs nothing but freshness. It also ends a silence that others saw end.
-    fn note(&mut self, bytes: &[u8]) {
-        let Some((&NOTE_VERSION, rest)) = bytes.split_first() else { return };
-        let now = self.now;
-        for entry in rest.chunks_exact(NOTE_BYTES) {
-            let part = |at: usize| u16::from_be_bytes([entry[at], entry[at + 1]]);
-            let (place, wait, lag) = (i64::from(part(0)), f64::from(part(2)) * 1e3, Micros::from(part(4)));
-            let Some(server) = self.servers.values_mut().find(|server| server.place == place) else {
-                continue;
-            };
-            server.sample(now, wait, GAIN * PEER_WEIGHT);
-            server.answered_sent = server.answered_sent.max(now - lag * 1_000);
-            server.suspect = false;
-        }
-    }
-
     // ---- A call's life ----
 
     fn forget(&mut self, id: CallId) {
