--- a/src/lib.rs
+++ b/src/lib.rs
@@ -31,6 +31,11 @@
 mod decide;
 mod interface;
 
+/// The examples of the README, kept true by the tests.
+#[cfg(doctest)]
+#[doc = include_str!("../README.md")]
+struct Readme;
+
 pub use decide::Controller;
 pub use interface::{
     Action, Availability, Call, CallId, Class, DedupGroup, Effect, Event, Member, MemberNews, Membership,
