--- a/src/decide.rs
+++ b/src/decide.rs
@@ -49,6 +49,8 @@
 const SPREAD: Micros = 32;
 /// Least pause between two log lines about a server, in microseconds.
 const LOG_PAUSE: Micros = 5_000_000;
+/// Pressed waits without own traffic after which a load report is believed.
+const REPORT_AFTER: f64 = 5.0;
 /// The one timer.
 const TICK: u64 = 1;
 
@@ -140,7 +142,7 @@
             suspect: false,
             trial_pause: TRIAL,
             last_sent: now,
-            answered_sent: Micros::MIN,
+            answered_sent: now,
             next_line: now,
             logged: Health::Well,
             logged_at: Micros::MIN,
@@ -398,8 +400,11 @@
         if report.free.is_some() {
             server.free = report.free;
         }
-        if let Some(wait) = report.wait {
-            server.sample(now, wait as f64, GAIN / 2.0);
+        // Reports are older than answers, and every node has the same: acted on together they herd.
+        // They speak only where this node's own answers have fallen silent.
+        let unheard = (now - server.answered_sent.max(server.last_sent)) as f64 > REPORT_AFTER * self.pressed;
+        if let (Some(wait), true) = (report.wait, unheard) {
+            server.sample(now, wait as f64, GAIN);
         }
     }
 
