--- a/src/decide.rs
+++ b/src/decide.rs
@@ -51,8 +51,6 @@
 const LOG_PAUSE: Micros = 5_000_000;
 /// Pressed waits without own traffic after which a load report is believed.
 const REPORT_AFTER: f64 = 5.0;
-/// Pressed waits after which an unanswered set-up makes a server silent.
-const SILENT: f64 = 3.0;
 /// The one timer.
 const TICK: u64 = 1;
 
@@ -175,7 +173,7 @@
     }
 
     fn health(&self, now: Micros, pressed: f64) -> Health {
-        if self.suspect || self.silence(now) > SILENT * pressed {
+        if self.suspect || self.silence(now) > pressed {
             Health::Silent
         } else if self.expected(now) > pressed {
             Health::Pressed
