--- a/src/decide.rs
+++ b/src/decide.rs
@@ -101,6 +101,8 @@
     /// Estimated wait and the moment it was true.
     wait: f64,
     wait_at: Micros,
+    /// The wait at which cheap calls stop paying.
+    pressed: f64,
     /// Own set-ups without an answer, oldest first.
     open: BTreeSet<(Micros, CallId, u32)>,
     /// Set-ups that ended in refusal or silence.
@@ -109,6 +111,8 @@
     turned: Share,
     /// Own set-ups answered, aged: with the other nodes' like share this is its throughput.
     answered: Share,
+    /// The most of these at any time: what it can do at least, judged by its place's past.
+    most_answered: f64,
     /// The last outcome was silence: only lone cheap calls try it, at growing pauses.
     suspect: bool,
     trial_pause: f64,
@@ -125,7 +129,7 @@
 }
 
 impl Server {
-    fn new(member: &Member, now: Micros) -> Self {
+    fn new(member: &Member, now: Micros, pressed: f64) -> Self {
         Server {
             ready: false,
             started_at: None,
@@ -135,10 +139,12 @@
             base: None,
             wait: 0.0,
             wait_at: now,
+            pressed,
             open: BTreeSet::new(),
             failed: Share::default(),
             turned: Share::default(),
             answered: Share::default(),
+            most_answered: 0.0,
             suspect: false,
             trial_pause: TRIAL,
             last_sent: now,
@@ -154,15 +160,22 @@
         self.base.unwrap_or(0) as f64
     }
 
+    /// The estimate grown old. Above the pressed wait the nodes hold back and a queue runs off as time
+    /// goes; below it they refill it meanwhile.
+    fn drained(&self, now: Micros) -> f64 {
+        let (passed, excess) = ((now - self.wait_at) as f64, (self.wait - self.pressed).max(0.0));
+        let below = self.wait - excess - DRAIN * (passed - excess).max(0.0);
+        (excess - passed).max(0.0) + below.max(0.0)
+    }
+
     fn settle(&mut self, now: Micros) {
-        self.wait = (self.wait - DRAIN * (now - self.wait_at) as f64).max(0.0);
+        self.wait = self.drained(now);
         self.wait_at = now;
     }
 
     /// The wait that a set-up sent now would meet.
     fn expected(&self, now: Micros) -> f64 {
-        let drained = (self.wait - DRAIN * (now - self.wait_at) as f64).max(0.0);
-        drained.max(self.silence(now))
+        self.drained(now).max(self.silence(now))
     }
 
     /// How long the oldest set-up that no later one overtook has waited: it shows a hang before any
@@ -353,9 +366,10 @@
     }
 
     fn member(&mut self, member: &Member) {
-        let (now, spacing) = (self.now, self.cold_spacing(self.settings.cold_from));
+        let (now, pressed) = (self.now, self.pressed);
+        let spacing = self.cold_spacing(member.place, self.settings.cold_from);
         let first = self.chance() * spacing;
-        let server = self.servers.entry(member.server).or_insert_with(|| Server::new(member, now));
+        let server = self.servers.entry(member.server).or_insert_with(|| Server::new(member, now, pressed));
         server.ready = member.availability == Availability::Ready;
         server.place = member.place;
         server.zone = member.zone;
@@ -380,16 +394,19 @@
         from + (1.0 - from) * (age / span).max(0.0)
     }
 
-    /// Set-ups a second that a warm server takes from all nodes, judged from this node's share.
-    fn warm_rate(&self) -> f64 {
-        let rate = |server: &Server| server.answered.all * server.answered.faded(self.now) / (AGEING / 1e6);
-        let best = self.servers.values().filter(|s| self.warmth(s) >= 1.0).map(rate).fold(0.0, f64::max);
-        (best * f64::from(self.settings.balancers)).max(UNKNOWN_RATE)
+    /// Set-ups a second that the warm server of a place takes from all nodes, judged from this node's
+    /// share of its past, or of the lesser of the other places where it has none.
+    fn warm_rate(&self, place: i64) -> f64 {
+        let most = |server: &Server| server.most_answered;
+        let same = self.servers.values().filter(|server| server.place == place).map(most).fold(0.0, f64::max);
+        let least = self.servers.values().map(most).filter(|&most| most > 0.0).fold(f64::INFINITY, f64::min);
+        let known = if same > 0.0 || least.is_infinite() { same } else { least };
+        (known * f64::from(self.settings.balancers) / (AGEING / 1e6)).max(UNKNOWN_RATE)
     }
 
     /// Pause between this node's sends to a cold server, so that all nodes keep within its means.
-    fn cold_spacing(&self, warmth: f64) -> f64 {
-        f64::from(self.settings.balancers) * 1e6 / (self.warm_rate() * warmth * COLD_USE)
+    fn cold_spacing(&self, place: i64, warmth: f64) -> f64 {
+        f64::from(self.settings.balancers) * 1e6 / (self.warm_rate(place) * warmth * COLD_USE)
     }
 
     // ---- What answers tell ----
@@ -423,6 +440,7 @@
             server.failed.add(now, false);
             server.turned.add(now, false);
             server.answered.add(now, false);
+            server.most_answered = server.most_answered.max(server.answered.all);
             server.sample(now, (lag - base) as f64, GAIN);
         }
         self.forget(call);
@@ -649,11 +667,12 @@
 
     fn send(&mut self, id: CallId, to: ServerId, actions: &mut Vec<Action>) {
         let now = self.now;
-        let unit = 1e6 / self.warm_rate();
         let nodes = f64::from(self.settings.balancers);
         let jitter = 0.75 + 0.5 * self.chance();
-        let cold = self.servers.get(&to).map_or(1.0, |server| self.warmth(server));
-        let spacing = self.cold_spacing(cold) * jitter;
+        let Some(server) = self.servers.get(&to) else { return };
+        let (cold, unit) = (self.warmth(server), 1e6 / self.warm_rate(server.place));
+        let unit = server.base.map_or(unit, |base| unit.min(base as f64));
+        let spacing = self.cold_spacing(server.place, cold) * jitter;
         let Some(pending) = self.calls.get(&id) else { return };
         let rank = self.rank(pending);
         self.waiting.remove(&rank);
@@ -663,7 +682,7 @@
         server.last_sent = now;
         server.open.insert((now, id, pending.attempts));
         server.settle(now);
-        server.wait += DRAIN * unit.min(server.base()) * nodes;
+        server.wait += DRAIN * unit * nodes;
         server.free = server.free.map(|free| free - pending.call.width);
         if cold < 1.0 {
             server.next_cold = now + spacing as Micros;
