--- a/src/decide.rs
+++ b/src/decide.rs
@@ -101,8 +101,6 @@
     /// Estimated wait and the moment it was true.
     wait: f64,
     wait_at: Micros,
-    /// The wait at which cheap calls stop paying.
-    pressed: f64,
     /// Own set-ups without an answer, oldest first.
     open: BTreeSet<(Micros, CallId, u32)>,
     /// Set-ups that ended in refusal or silence.
@@ -129,7 +127,7 @@
 }
 
 impl Server {
-    fn new(member: &Member, now: Micros, pressed: f64) -> Self {
+    fn new(member: &Member, now: Micros) -> Self {
         Server {
             ready: false,
             started_at: None,
@@ -139,7 +137,6 @@
             base: None,
             wait: 0.0,
             wait_at: now,
-            pressed,
             open: BTreeSet::new(),
             failed: Share::default(),
             turned: Share::default(),
@@ -160,12 +157,9 @@
         self.base.unwrap_or(0) as f64
     }
 
-    /// The estimate grown old. Above the pressed wait the nodes hold back and a queue runs off as time
-    /// goes; below it they refill it meanwhile.
+    /// The estimate grown old.
     fn drained(&self, now: Micros) -> f64 {
-        let (passed, excess) = ((now - self.wait_at) as f64, (self.wait - self.pressed).max(0.0));
-        let below = self.wait - excess - DRAIN * (passed - excess).max(0.0);
-        (excess - passed).max(0.0) + below.max(0.0)
+        (self.wait - DRAIN * (now - self.wait_at) as f64).max(0.0)
     }
 
     fn settle(&mut self, now: Micros) {
@@ -366,10 +360,10 @@
     }
 
     fn member(&mut self, member: &Member) {
-        let (now, pressed) = (self.now, self.pressed);
+        let now = self.now;
         let spacing = self.cold_spacing(member.place, self.settings.cold_from);
         let first = self.chance() * spacing;
-        let server = self.servers.entry(member.server).or_insert_with(|| Server::new(member, now, pressed));
+        let server = self.servers.entry(member.server).or_insert_with(|| Server::new(member, now));
         server.ready = member.availability == Availability::Ready;
         server.place = member.place;
         server.zone = member.zone;
