Pace cold servers by half of what would push them over, not by what they can do

Cause: a start's true capacity is not told, and its answers tell load better than a guess. It could harm where the place's past overstates the new server; the budget's other half is for that.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -33,8 +33,9 @@
 const HOLD: f64 = 0.65;
 /// Pause between two looks at waiting calls, in microseconds.
 const LOOK: Micros = 10_000;
-/// Share of a cold server's estimated capacity that all nodes together send it.
-const COLD_USE: f64 = 1.0;
+/// Share of what would push a cold server over that all nodes together send it at most; below that its
+/// answers say what it can take.
+const COLD_USE: f64 = 0.5;
 /// Scores this near, in worths of the cheapest class, count as equal.
 const NEAR: f64 = 0.05;
 /// Set-ups a second that a warm server is taken to do at least, before this node has seen better.
@@ -400,7 +401,8 @@
 
     /// Pause between this node's sends to a cold server, so that all nodes keep within its means.
     fn cold_spacing(&self, place: i64, warmth: f64) -> f64 {
-        f64::from(self.settings.balancers) * 1e6 / (self.warm_rate(place) * warmth * COLD_USE)
+        f64::from(self.settings.balancers) * 1e6
+            / (self.warm_rate(place) * warmth * self.settings.fall_multiple * COLD_USE)
     }
 
     // ---- What answers tell ----
