Trials of a silent server pause longer with each set-up still out

Symptom: a slowed server stays at its queue limit for ten seconds while all nodes refuse. Cause: every node's trial each two pressed waits was, together, a quarter of the server's work, each repeated while it waited. Told from overload: the other servers had room. Change: the pause doubles with each set-up that is still out. Also covers hangs; it could harm by finding a recovered server up to 16 pressed waits later.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -180,6 +180,13 @@
         oldest.map_or(0.0, |&(sent, ..)| ((now - sent) as f64 - self.base()).max(0.0))
     }
 
+    /// Pause before the next trial, in pressed waits: it doubles with every set-up still out too, so that
+    /// the trials of all nodes don't keep a slow server jammed.
+    fn pause(&self) -> f64 {
+        let doubled = self.trial_pause * 2f64.powi(self.open.len().min(8) as i32);
+        doubled.min(TRIAL_MOST)
+    }
+
     fn health(&self, now: Micros, pressed: f64) -> Health {
         if self.suspect || self.silence(now) > pressed {
             Health::Silent
@@ -769,7 +776,7 @@
         }
         // A silent server gets lone cheap trial calls: silence must not keep it out for good.
         let silent = server.health(now, self.pressed) == Health::Silent;
-        if silent && (quiet < server.trial_pause * self.pressed || class.worth > self.cheapest) {
+        if silent && (quiet < server.pause() * self.pressed || class.worth > self.cheapest) {
             return f64::NEG_INFINITY;
         }
         let mut wait = if silent { 0.0 } else { server.expected(now) };
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -325,3 +325,54 @@
     }
     assert!(Controller::new(settings(), 0).is_ok());
 }
+
+#[test]
+fn trials_do_not_jam_a_slow_server() {
+    // A server that answers after three seconds: trials on the way must not pile up there.
+    let mut node = Node::new(Settings { may_cancel: false, ..settings() }, 1);
+    node.served(1, 5, 0, 20 * MS, 20 * MS);
+    let mut sends = 0;
+    for id in 10..310 {
+        sends += usize::from(sent(&node.call(id, 0, 0)).is_some());
+        node.pass(10 * MS);
+    }
+    assert!((2..=8).contains(&sends), "{sends} sends in three seconds without an answer");
+}
+
+#[test]
+fn a_cold_server_is_paced_by_the_past_of_its_place() {
+    let sends = |served: u64| {
+        let mut node = Node::new(Settings { balancers: 4, ..settings() }, 1);
+        node.served(1, served, 0, 10 * MS, 15 * MS);
+        let renewed = member(7, Availability::Ready, Some(node.now));
+        let renewed = lemoncleat::Member { place: 0, ..renewed };
+        node.handle(Event::Members(MemberNews::Complete(vec![renewed])));
+        let mut sends = 0;
+        for id in 1_000..1_200 {
+            let mut actions = node.call(id, 1, 0);
+            actions.extend(node.pass(10 * MS));
+            for action in actions {
+                if let Action::Send { call, .. } = action {
+                    sends += 1;
+                    node.started(call.0, 0, 7, 10 * MS);
+                }
+            }
+        }
+        sends
+    };
+    let (idle, busy) = (sends(2), sends(300));
+    assert!(busy > 3 * idle, "{busy} sends after a busy past, {idle} after an idle one");
+}
+
+#[test]
+fn a_stale_report_does_not_overrule_own_answers() {
+    let mut node = Node::new(settings(), 1);
+    node.served(1, 5, 0, 20 * MS, 20 * MS);
+    let report = Report { wait: Some(3 * S), ..Report::default() };
+    node.handle(Event::Probed { server: ServerId(0), outcome: Outcome::Ok, lag: 5 * MS, report });
+    assert!(sent(&node.call(10, 0, 0)).is_some(), "answers a moment old say otherwise");
+    node.started(10, 0, 0, 20 * MS);
+    node.pass(10 * S);
+    node.handle(Event::Probed { server: ServerId(0), outcome: Outcome::Ok, lag: 5 * MS, report });
+    assert!(sent(&node.call(11, 0, 0)).is_none(), "with no answers of its own the node believes it");
+}
