--- a/tests/module.rs
+++ b/tests/module.rs
@@ -331,12 +331,14 @@
     // A server that answers after three seconds: trials on the way must not pile up there.
     let mut node = Node::new(Settings { may_cancel: false, ..settings() }, 1);
     node.served(1, 5, 0, 20 * MS, 20 * MS);
+    node.call(9, 0, 0);
+    node.pass(250 * MS);
     let mut sends = 0;
-    for id in 10..310 {
+    for id in 10..280 {
         sends += usize::from(sent(&node.call(id, 0, 0)).is_some());
         node.pass(10 * MS);
     }
-    assert!((2..=8).contains(&sends), "{sends} sends in three seconds without an answer");
+    assert!((1..=3).contains(&sends), "{sends} trials in three seconds without an answer");
 }
 
 #[test]
