A price for lines where they run out; a failed attempt prefers another server

Cause: their processors were idle, so nothing cost anything, and repeated calls took the lines that fresh calls needed. Told from slow processors: answers within 40 ms, 'no circuit' returns. Change: the aged share of 'no circuit' prices a line below a call in time; a server that failed a call counts 0.3 for it. It could harm where lines run out at one pool only: then the price is that pool's alone.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -52,6 +52,11 @@
 const LOG_PAUSE: Micros = 5_000_000;
 /// Pressed waits without own traffic after which a load report is believed.
 const REPORT_AFTER: f64 = 5.0;
+/// Most that a line costs where they run out, in worths of the cheapest class: less than a call in time
+/// is worth, more than one that comes too late.
+const LINE_PRICE: f64 = 0.7;
+/// Chance left to a server that just failed the same call, against what it has otherwise.
+const AGAIN: f64 = 0.3;
 /// The one timer.
 const TICK: u64 = 1;
 
@@ -108,6 +113,8 @@
     failed: Share,
     /// Calls turned back by it as a tandem.
     turned: Share,
+    /// Set-ups that found no line free, aged: the price of a line follows it.
+    lineless: Share,
     /// Own set-ups answered, aged: with the other nodes' like share this is its throughput.
     answered: Share,
     /// The most of these at any time: what it can do at least, judged by its place's past.
@@ -141,6 +148,7 @@
             open: BTreeSet::new(),
             failed: Share::default(),
             turned: Share::default(),
+            lineless: Share::default(),
             answered: Share::default(),
             most_answered: 0.0,
             suspect: false,
@@ -224,6 +232,8 @@
     may_have_run: Option<(Micros, ServerId)>,
     /// The attempt that is out was cancelled.
     withdrawn: bool,
+    /// The server of the last attempt that failed.
+    failed_at: Option<ServerId>,
     /// Time used in earlier tries, as far as known.
     used_before: Micros,
 }
@@ -443,6 +453,7 @@
             server.failed.add(now, false);
             server.turned.add(now, false);
             server.answered.add(now, false);
+            server.lineless.add(now, false);
             server.most_answered = server.most_answered.max(server.answered.all);
             server.sample(now, (lag - base) as f64, GAIN);
         }
@@ -458,7 +469,10 @@
             return; // It stood before: its end says nothing of set-ups.
         }
         match (how, why) {
-            (Outcome::Full, Reason::NoCircuit) => server.next_line = now + pressed as Micros / 4,
+            (Outcome::Full, Reason::NoCircuit) => {
+                server.lineless.add(now, true);
+                server.next_line = now + pressed as Micros / 4;
+            }
             (Outcome::Moot, _) => {}
             (Outcome::Full, Reason::TurnedBack { .. }) => server.turned.add(now, true),
             (Outcome::Full, why) => {
@@ -512,6 +526,7 @@
             released: arrived,
             may_have_run: None,
             withdrawn: false,
+            failed_at: None,
             used_before,
         };
         self.calls.insert(id, fresh);
@@ -556,6 +571,7 @@
             return;
         }
         let Some(out) = pending.out.take() else { return };
+        pending.failed_at = Some(out.server);
         if !matches!(how, Outcome::Full | Outcome::Unreachable | Outcome::Moot) {
             pending.may_have_run.get_or_insert((out.sent, out.server));
         }
@@ -751,7 +767,7 @@
             if but == Some(id) || !self.permitted(pending, id, server) {
                 continue;
             }
-            let mut score = self.score(pending, server, at);
+            let mut score = self.score(pending, id, server, at);
             if score > 0.0 && server.place == pending.call.destination {
                 score += near; // The first choice wins near-ties, so that nodes with one view don't herd.
             }
@@ -762,7 +778,7 @@
         best
     }
 
-    fn score(&self, pending: &Pending, server: &Server, at: Micros) -> f64 {
+    fn score(&self, pending: &Pending, id: ServerId, server: &Server, at: Micros) -> f64 {
         let (now, call) = (self.now, &pending.call);
         let class = &self.settings.classes[call.class];
         let direct = server.place == call.destination;
@@ -789,9 +805,13 @@
                 wait += far.expected(now);
             }
         }
+        if pending.failed_at == Some(id) {
+            stands *= AGAIN;
+        }
         let gain = self.gain(pending, at, stands, server.base() + wait);
         let price = self.cheapest * (wait / self.pressed).powi(PRICE_POWER) * call.width;
-        gain - price - if direct { 0.0 } else { SECOND_COST * self.cheapest }
+        let line = LINE_PRICE * self.cheapest * server.lineless.value(now) * call.width;
+        gain - price - line - if direct { 0.0 } else { SECOND_COST * self.cheapest }
     }
 
     /// Expected worth of a call that meets this delay from the moment `at` on.
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -331,14 +331,16 @@
     // A server that answers after three seconds: trials on the way must not pile up there.
     let mut node = Node::new(Settings { may_cancel: false, ..settings() }, 1);
     node.served(1, 5, 0, 20 * MS, 20 * MS);
-    node.call(9, 0, 0);
+    for id in 6..9 {
+        node.call(id, 0, 0);
+    }
     node.pass(250 * MS);
     let mut sends = 0;
-    for id in 10..280 {
-        sends += usize::from(sent(&node.call(id, 0, 0)).is_some());
-        node.pass(10 * MS);
+    for id in 10..610 {
+        let (now, later) = (node.call(id, 0, 0), node.pass(10 * MS));
+        sends += now.iter().chain(&later).filter(|action| matches!(action, Action::Send { .. })).count();
     }
-    assert!((1..=3).contains(&sends), "{sends} trials in three seconds without an answer");
+    assert!((1..=3).contains(&sends), "{sends} trials in six seconds without an answer");
 }
 
 #[test]
@@ -378,3 +380,25 @@
     node.handle(Event::Probed { server: ServerId(0), outcome: Outcome::Ok, lag: 5 * MS, report });
     assert!(sent(&node.call(11, 0, 0)).is_none(), "with no answers of its own the node believes it");
 }
+
+#[test]
+fn a_failed_attempt_goes_elsewhere_even_against_the_first_choice() {
+    let mut node = Node::new(settings(), 2);
+    assert_eq!(sent(&node.call(1, 0, 0)), Some(0));
+    assert_eq!(sent(&node.ended(1, 0, 0, Outcome::Error, Reason::None)), Some(1));
+}
+
+#[test]
+fn scarce_lines_go_to_calls_that_still_count() {
+    let mut node = Node::new(settings(), 1);
+    node.served(1, 3, 0, 20 * MS, 20 * MS);
+    for id in 10..40 {
+        node.call(id, 0, 0);
+        node.ended(id, 0, 0, Outcome::Full, Reason::NoCircuit);
+        node.handle(Event::CallerGone(CallId(id)));
+        node.pass(60 * MS);
+    }
+    let again = Call { patience: 7 * S, ..call(50, 0, 0) };
+    assert!(answered(&node.handle(Event::Call(again)), 50), "its aim is lost: it does not pay for a line");
+    assert!(sent(&node.call(51, 0, 0)).is_some(), "one in time does");
+}
