--- a/src/decide.rs
+++ b/src/decide.rs
@@ -690,8 +690,7 @@
         let jitter = 0.75 + 0.5 * self.chance();
         let Some(server) = self.servers.get(&to) else { return };
         let (cold, unit) = (self.warmth(server), 1e6 / self.warm_rate(server.place));
-        // Where nothing is known yet, a send counts as one pressed wait for all nodes together.
-        let unit = unit.min(server.base.map_or(self.pressed / (DRAIN * nodes), |base| base as f64));
+        let unit = server.base.map_or(unit, |base| unit.min(base as f64));
         let spacing = self.cold_spacing(server.place, cold) * jitter;
         let Some(pending) = self.calls.get(&id) else { return };
         let rank = self.rank(pending);
