Own sends weigh by the answered rate once a server is pressed

Symptom: small pools left alone are jammed, every set-up over a second. Cause: each node sent several held calls at once, each counted as the way there and back (19 ms), while the pool does ten a second. Told from slow processors: short waits came back after each pause.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -690,7 +690,9 @@
         let jitter = 0.75 + 0.5 * self.chance();
         let Some(server) = self.servers.get(&to) else { return };
         let (cold, unit) = (self.warmth(server), 1e6 / self.warm_rate(server.place));
-        let unit = server.base.map_or(unit, |base| unit.min(base as f64));
+        // Without pressure what was answered understates a server; the way there bounds its work then.
+        let least = unit.min(server.base.map_or(unit, |base| base as f64));
+        let unit = least + (unit - least) * (server.expected(now) / self.pressed).min(1.0);
         let spacing = self.cold_spacing(server.place, cold) * jitter;
         let Some(pending) = self.calls.get(&id) else { return };
         let rank = self.rank(pending);
