--- a/src/decide.rs
+++ b/src/decide.rs
@@ -782,7 +782,6 @@
 
     fn score(&self, pending: &Pending, id: ServerId, server: &Server, at: Micros) -> f64 {
         let (now, call) = (self.now, &pending.call);
-        let class = &self.settings.classes[call.class];
         let direct = server.place == call.destination;
         let cold = self.warmth(server) < 1.0;
         let quiet = (now - server.last_sent) as f64;
@@ -792,9 +791,10 @@
         if barred {
             return f64::NEG_INFINITY;
         }
-        // A silent server gets lone cheap trial calls: silence must not keep it out for good.
+        // A silent server gets lone trial calls, of those that nothing better takes: silence must not keep
+        // it out for good.
         let silent = server.health(now, self.pressed) == Health::Silent;
-        if silent && (quiet < server.pause() * self.pressed || class.worth > self.cheapest) {
+        if silent && quiet < server.pause() * self.pressed {
             return f64::NEG_INFINITY;
         }
         let mut wait = if silent { 0.0 } else { server.expected(now) };
@@ -807,7 +807,7 @@
                 wait += far.expected(now);
             }
         }
-        if pending.failed_at == Some(id) {
+        if pending.failed_at == Some(id) || silent {
             stands *= AGAIN;
         }
         let gain = self.gain(pending, at, stands, server.base() + wait);
