Bound a place's rate by its lines over the length of calls

Cause: a pool too small for the least rate assumed (ten a second) was sent several calls at once by ten nodes.

--- a/src/bin/lemoncleat-wirehost/settings.rs
+++ b/src/bin/lemoncleat-wirehost/settings.rs
@@ -66,6 +66,8 @@
     #[serde(default)]
     allowed_pools: Vec<Vec<i64>>,
     #[serde(default)]
+    call_length_us: Vec<Micros>,
+    #[serde(default)]
     guard_us: Micros,
     #[serde(default)]
     repeat_us: Micros,
@@ -132,6 +134,7 @@
         deadline: class.deadline_us,
         worth: class.worth,
         late_worth: class.late_worth,
+        length: family.call_length_us.get(index).copied().unwrap_or(0),
         effect: match class.effect {
             EffectConfig::Retryable => Effect::Safe,
             EffectConfig::Dedup => Effect::Dedup,
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -102,6 +102,8 @@
     zone: u32,
     /// Free circuits or lines, where told.
     free: Option<f64>,
+    /// All of them, where told.
+    lines: Option<f64>,
     /// Least lag seen: the way there and back with nobody waiting.
     base: Option<Micros>,
     /// Estimated wait and the moment it was true.
@@ -142,6 +144,7 @@
             place: member.place,
             zone: member.zone,
             free: None,
+            lines: None,
             base: None,
             wait: 0.0,
             wait_at: now,
@@ -413,7 +416,16 @@
         let same = self.servers.values().filter(|server| server.place == place).map(most).fold(0.0, f64::max);
         let least = self.servers.values().map(most).filter(|&most| most > 0.0).fold(f64::INFINITY, f64::min);
         let known = if same > 0.0 || least.is_infinite() { same } else { least };
-        (known * f64::from(self.settings.balancers) / (AGEING / 1e6)).max(UNKNOWN_RATE)
+        let rate = (known * f64::from(self.settings.balancers) / (AGEING / 1e6)).max(UNKNOWN_RATE);
+        // It can't take more calls than leave its lines.
+        let longest = self.settings.classes.iter().map(|class| class.length).max().unwrap_or(0) as f64 / 1e6;
+        let here = self.servers.values().filter(|server| server.place == place && server.ready);
+        let lines = here.filter_map(|server| server.lines).fold(f64::INFINITY, f64::min);
+        if longest > 0.0 {
+            rate.min(lines / longest)
+        } else {
+            rate
+        }
     }
 
     /// Pause between this node's sends to a cold server, so that all nodes keep within its means.
@@ -429,6 +441,7 @@
         let Some(server) = self.servers.get_mut(&id) else { return };
         if report.free.is_some() {
             server.free = report.free;
+            server.lines = report.lines.filter(|lines| *lines > 0.0).or(server.lines);
         }
         // Reports are older than answers, and every node has the same: acted on together they herd.
         // They speak only where this node's own answers have fallen silent.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -48,6 +48,8 @@
     pub worth: f64,
     /// Share of the worth earned by a call that stands after its aim.
     pub late_worth: f64,
+    /// Mean length of a call that stands; 0 where unknown.
+    pub length: Micros,
     /// What repeats do.
     pub effect: Effect,
     /// Where repeats are discarded.
