--- a/src/decide.rs
+++ b/src/decide.rs
@@ -353,7 +353,13 @@
                 tick = true;
             }
             Event::Timer(_) => {}
-            Event::Probed { server, report, .. } => self.report(server, &report),
+            Event::Probed { server, outcome, lag, report } => {
+                self.report(server, &report);
+                if let (Some(there), Outcome::Ok, true) = (self.servers.get_mut(&server), outcome, lag > 0) {
+                    there.suspect = false;
+                    there.answered_sent = there.answered_sent.max(self.now.saturating_sub(lag));
+                }
+            }
             Event::Note { .. } => {}
         }
         self.review(tick, actions);
@@ -649,7 +655,13 @@
 
     /// Tells of servers whose condition changed, once in a while each.
     fn log(&mut self, actions: &mut Vec<Action>) {
-        for server in self.servers.values_mut() {
+        for (&id, server) in &mut self.servers {
+            let silent = server.health(self.now, self.pressed) == Health::Silent;
+            let quiet = (self.now - server.last_sent) as f64 > server.pause() * self.pressed;
+            if silent && server.ready && quiet && self.settings.may_probe {
+                server.last_sent = self.now;
+                actions.push(Action::Probe(id));
+            }
             let health = server.health(self.now, self.pressed);
             if health == server.logged || self.now < server.logged_at.saturating_add(LOG_PAUSE) {
                 continue;
