--- a/src/decide.rs
+++ b/src/decide.rs
@@ -209,6 +209,9 @@
     }
 
     fn sample(&mut self, now: Micros, wait: f64, gain: f64) {
+        if wait.is_nan() {
+            return;
+        }
         self.settle(now);
         // Absurd figures must fade like any other.
         self.wait += gain * (wait.clamp(0.0, AGEING) - self.wait);
@@ -353,13 +356,7 @@
                 tick = true;
             }
             Event::Timer(_) => {}
-            Event::Probed { server, outcome, lag, report } => {
-                self.report(server, &report);
-                if let (Some(there), Outcome::Ok, true) = (self.servers.get_mut(&server), outcome, lag > 0) {
-                    there.suspect = false;
-                    there.answered_sent = there.answered_sent.max(self.now.saturating_sub(lag));
-                }
-            }
+            Event::Probed { server, report, .. } => self.report(server, &report),
             Event::Note { .. } => {}
         }
         self.review(tick, actions);
@@ -444,6 +441,7 @@
 
     fn report(&mut self, id: ServerId, report: &Report) {
         let now = self.now;
+        let rate = self.servers.get(&id).map_or(UNKNOWN_RATE, |server| self.warm_rate(server.place));
         let Some(server) = self.servers.get_mut(&id) else { return };
         if report.free.is_some() {
             server.free = report.free;
@@ -452,8 +450,9 @@
         // Reports are older than answers, and every node has the same: acted on together they herd.
         // They speak only where this node's own answers have fallen silent.
         let unheard = (now - server.answered_sent.max(server.last_sent)) as f64 > REPORT_AFTER * self.pressed;
-        if let (Some(wait), true) = (report.wait, unheard) {
-            server.sample(now, wait as f64, GAIN);
+        let queued = report.queue.map(|queue| queue * 1e6 / rate);
+        if let (Some(wait), true) = (report.wait.map(|wait| wait as f64).or(queued), unheard) {
+            server.sample(now, wait, GAIN);
         }
     }
 
@@ -655,13 +654,7 @@
 
     /// Tells of servers whose condition changed, once in a while each.
     fn log(&mut self, actions: &mut Vec<Action>) {
-        for (&id, server) in &mut self.servers {
-            let silent = server.health(self.now, self.pressed) == Health::Silent;
-            let quiet = (self.now - server.last_sent) as f64 > server.pause() * self.pressed;
-            if silent && server.ready && quiet && self.settings.may_probe {
-                server.last_sent = self.now;
-                actions.push(Action::Probe(id));
-            }
+        for server in self.servers.values_mut() {
             let health = server.health(self.now, self.pressed);
             if health == server.logged || self.now < server.logged_at.saturating_add(LOG_PAUSE) {
                 continue;
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -402,3 +402,38 @@
     assert!(answered(&node.handle(Event::Call(again)), 50), "its aim is lost: it does not pay for a line");
     assert!(sent(&node.call(51, 0, 0)).is_some(), "one in time does");
 }
+
+#[test]
+fn a_reported_queue_counts_where_no_own_answer_is_fresh() {
+    let mut node = Node::new(settings(), 2);
+    node.pass(10 * S);
+    for queue in [f64::NAN, 40.0, 40.0] {
+        let report = Report { queue: Some(queue), ..Report::default() };
+        node.handle(Event::Probed { server: ServerId(0), outcome: Outcome::Ok, lag: 5 * MS, report });
+    }
+    assert_eq!(sent(&node.call(1, 0, 0)), Some(1), "forty set-ups wait at the first choice");
+}
+
+#[test]
+fn a_small_pool_is_not_flooded_with_calls_that_waited() {
+    let lengthy = |base: Settings| {
+        let classes = base.classes.iter().map(|class| Class { length: 8 * S, ..class.clone() }).collect();
+        Settings { classes, balancers: 10, ..base }
+    };
+    let mut node = Node::new(lengthy(settings()), 1);
+    let report = Report { free: Some(30.0), lines: Some(30.0), ..Report::default() };
+    node.handle(Event::Probed { server: ServerId(0), outcome: Outcome::Ok, lag: 0, report });
+    let burst = (1..20).filter(|&id| sent(&node.call(id, 0, 0)).is_some()).count();
+    assert!(burst <= 1, "{burst} sends at once by one of ten nodes to a pool that takes four a second");
+}
+
+#[test]
+fn a_lone_server_and_node_without_reports_serve_on() {
+    let mut node = Node::new(Settings { repeat: 0, ..settings() }, 1);
+    for id in 1..200 {
+        let actions = node.call(id, 0, 0);
+        assert_eq!(sent(&actions), Some(0), "call {id}");
+        node.pass(10 * MS);
+        node.started(id, 0, 0, 10 * MS);
+    }
+}
