--- a/src/decide.rs
+++ b/src/decide.rs
@@ -21,15 +21,16 @@
 const PRESSED_OF_AIM: f64 = 0.3;
 /// Growth of the price of work with the wait; at the pressed wait it is the cheapest worth.
 const PRICE_POWER: i32 = 2;
-/// How much of a new wait sample goes into the estimate.
+/// How much of a new wait sample goes into the estimate: half, between noise and lag.
 const GAIN: f64 = 0.5;
-/// How fast an estimated wait drains while nothing is heard, per unit of time.
+/// How fast an estimated wait drains while nothing is heard, per unit of time: queues run off one for
+/// one when all nodes hold back, and not at all when they don't.
 const DRAIN: f64 = 0.5;
 /// Time over which outcomes age, in microseconds (about ten seconds, as the design page has it).
 const AGEING: f64 = 10e6;
 /// Outcomes that stand for no evidence, so that a share fades as its outcomes age.
 const PRIOR: f64 = 2.0;
-/// Share of the aim that a call may spend waiting at the node to be sent.
+/// Share of the aim that a call may spend waiting at the node to be sent; the rest is for the set-up.
 const HOLD: f64 = 0.65;
 /// Pause between two looks at waiting calls, in microseconds.
 const LOOK: Micros = 10_000;
@@ -38,13 +39,15 @@
 const COLD_USE: f64 = 0.5;
 /// Scores this near, in worths of the cheapest class, count as equal.
 const NEAR: f64 = 0.05;
-/// Set-ups a second that a warm server is taken to do at least, before this node has seen better.
+/// Set-ups a second that a warm server is taken to do at least, before this node has seen better: low, so
+/// that the unknown is approached slowly; its lines may bound it lower.
 const UNKNOWN_RATE: f64 = 10.0;
 /// First pause before a silent server is tried again, in pressed waits; it doubles up to `TRIAL_MOST`.
 const TRIAL: f64 = 2.0;
 /// Longest pause between trials, in pressed waits.
 const TRIAL_MOST: f64 = 16.0;
-/// A set-up is given up for another route once that scores better by this share of its worth.
+/// A set-up is given up for another route once that scores better by this share of its worth, since the
+/// work done for it is lost.
 const RESCUE: f64 = 0.25;
 /// Patience within this part of the usual counts as the usual.
 const SPREAD: Micros = 32;
@@ -55,7 +58,8 @@
 /// Most that a line costs where they run out, in worths of the cheapest class: less than a call in time
 /// is worth, more than one that comes too late.
 const LINE_PRICE: f64 = 0.7;
-/// Chance left to a server that just failed the same call, against what it has otherwise.
+/// Chance left to a server that just failed the same call, or that is silent, against what it has
+/// otherwise.
 const AGAIN: f64 = 0.3;
 /// The one timer.
 const TICK: u64 = 1;
@@ -121,7 +125,7 @@
     answered: Share,
     /// The most of these at any time: what it can do at least, judged by its place's past.
     most_answered: f64,
-    /// The last outcome was silence: only lone cheap calls try it, at growing pauses.
+    /// The last outcome was silence: only lone trial calls go there, at growing pauses.
     suspect: bool,
     trial_pause: f64,
     /// When this node last sent to it, and when the latest send that was answered went out.
