Chance settles near-ties between second choices

Cause: all nodes took the lowest server of equals. Kept, since it guards against one stale view whatever the number of servers.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -368,7 +368,12 @@
 
     fn chance(&mut self) -> f64 {
         self.random = self.random.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        let mut bits = self.random;
+        self.draw(0)
+    }
+
+    /// A number from 0 to 1 that this node, and no other, gives to `mark` at this moment (SplitMix64).
+    fn draw(&self, mark: u64) -> f64 {
+        let mut bits = self.random ^ mark.wrapping_mul(0x9e37_79b9_7f4a_7c15);
         bits = (bits ^ (bits >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
         bits = (bits ^ (bits >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
         ((bits ^ (bits >> 31)) >> 11) as f64 / (1u64 << 53) as f64
@@ -792,8 +797,12 @@
                 continue;
             }
             let mut score = self.score(pending, id, server, at);
-            if score > 0.0 && server.place == pending.call.destination {
-                score += near; // The first choice wins near-ties, so that nodes with one view don't herd.
+            if score > 0.0 {
+                // The first choice wins near-ties and chance settles them between the others, so that
+                // nodes with one view don't herd.
+                let direct = server.place == pending.call.destination;
+                let mark = (pending.call.id.0 << 16) ^ (u64::from(id.0) + 1);
+                score += near * if direct { 1.0 } else { self.draw(mark) };
             }
             if score > 0.0 && best.is_none_or(|(top, _)| score > top) {
                 best = Some((score, id));
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -437,3 +437,18 @@
         node.started(id, 0, 0, 10 * MS);
     }
 }
+
+#[test]
+fn nodes_with_one_view_do_not_herd() {
+    let mut chosen = [0; 4];
+    for seed in 0..40 {
+        let mut node = Node { controller: Controller::new(settings(), seed).expect("usable"), now: 0 };
+        let members = (0..4).map(|number| member(number, Availability::Ready, None)).collect();
+        node.handle(Event::Members(MemberNews::Complete(members)));
+        let none = Report { free: Some(0.0), lines: Some(9.0), ..Report::default() };
+        node.handle(Event::Probed { server: ServerId(0), outcome: Outcome::Ok, lag: 0, report: none });
+        chosen[sent(&node.call(1, 0, 0)).expect("a second choice") as usize] += 1;
+    }
+    assert_eq!(chosen[0], 0);
+    assert!(chosen[1..].iter().all(|&times| times >= 5), "all second choices are equal: {chosen:?}");
+}
