--- a/crates/lemoncleat-diameter/src/peer.rs
+++ b/crates/lemoncleat-diameter/src/peer.rs
@@ -191,6 +191,8 @@
     Disconnect(DisconnectCause),
     /// The time at [`Peer::due`] has come.
     Timeout,
+    /// This end got no turn for so long (microseconds): that time counts for no wait for the peer.
+    Away(Micros),
 }
 
 /// What a peer asks for.
@@ -475,6 +477,10 @@
             PeerInput::Closed(conn) => self.closed(now, conn, out),
             PeerInput::Disconnect(cause) => self.disconnect(now, cause, out),
             PeerInput::Timeout => self.timeout(now, out),
+            PeerInput::Away(time) => {
+                self.limit_at = self.limit_at.map(|at| at + time);
+                self.watchdog.away(time);
+            }
         }
     }
 
--- a/crates/lemoncleat-diameter/src/watchdog.rs
+++ b/crates/lemoncleat-diameter/src/watchdog.rs
@@ -128,6 +128,11 @@
         }
     }
 
+    /// This end got no turn for so long: the peer's silence meanwhile is not told from its own.
+    pub fn away(&mut self, time: Micros) {
+        self.due = self.due.map(|due| due + time);
+    }
+
     /// The time at [`Watchdog::due`] has come.
     pub fn timeout(&mut self, now: Micros, rng: &mut SmallRng) -> Option<WatchdogAction> {
         if self.due.is_none_or(|due| due > now) {
--- a/crates/lemoncleat-lab/src/bench_day.rs
+++ b/crates/lemoncleat-lab/src/bench_day.rs
@@ -141,6 +141,8 @@
     len: i64,
     size: f64,
     #[serde(default)]
+    extra: f64,
+    #[serde(default)]
     on: Vec<usize>,
     #[serde(default)]
     which: usize,
@@ -262,7 +264,8 @@
         let (at, length) = (scaled(trouble.at as f64), scaled(trouble.len as f64));
         let place = |index: &usize| up.iter().position(|known| known == index).map(|place| place as u16);
         let on: Vec<u16> = trouble.on.iter().filter_map(place).collect();
-        let simple = |kind, size| Trouble { kind, at, length, size, on: on.clone(), node: 0 };
+        let simple =
+            |kind, size| Trouble { kind, at, length, size, on: on.clone(), node: 0, pause: Trouble::PAUSE };
         match trouble.kind.as_str() {
             "burst" => day.troubles.push(simple(TroubleKind::Surge, trouble.size)),
             "crash" | "mass_restart" | "vanish" => day.troubles.push(simple(TroubleKind::Crash, 1.0)),
@@ -281,14 +284,7 @@
                 } else {
                     // One part in root(size) of the lines stays.
                     let keep = 1.0 / trouble.size.max(1.0).sqrt();
-                    day.troubles.push(Trouble {
-                        kind: TroubleKind::Lines,
-                        at,
-                        length,
-                        size: keep,
-                        on,
-                        node: 0,
-                    });
+                    day.troubles.push(Trouble { on, ..simple(TroubleKind::Lines, keep) });
                 }
             }
             "discovery_stale" => {
@@ -301,14 +297,7 @@
                 if stopped.is_empty() {
                     notes.push("deploy: replaces no server that is kept, left out".to_owned());
                 } else {
-                    day.troubles.push(Trouble {
-                        kind: TroubleKind::Drain,
-                        at,
-                        length,
-                        size: 1.0,
-                        on: stopped,
-                        node: 0,
-                    });
+                    day.troubles.push(Trouble { on: stopped, ..simple(TroubleKind::Drain, 1.0) });
                 }
             }
             "balancer_stall" => {
@@ -316,16 +305,12 @@
                 let part = trouble.on.len() as f64 / json.balancers.len().max(1) as f64;
                 let stalled = ((f64::from(nodes) * part).round() as u16).clamp(1, nodes);
                 for node in 0..stalled {
-                    let size = trouble.size / 1e3 / speed;
+                    let stall = simple(TroubleKind::Stall, trouble.size / 1e3 / speed);
                     let at = Span(at.0 + i64::from(node) * 150_000);
-                    day.troubles.push(Trouble {
-                        kind: TroubleKind::Stall,
-                        at,
-                        length,
-                        size,
-                        on: Vec::new(),
-                        node,
-                    });
+                    // The day tells the mean pause in seconds.
+                    let pause =
+                        if trouble.extra > 0.0 { scaled(trouble.extra * 1e6) } else { Trouble::PAUSE };
+                    day.troubles.push(Trouble { at, on: Vec::new(), node, pause, ..stall });
                 }
             }
             "peer_down" => {
@@ -376,11 +361,21 @@
             size: 2.5,
             on: vec![1],
             node: 0,
+            pause: Trouble::PAUSE,
         };
         assert_eq!(day.troubles, [expected]);
         assert!(day.processor.reports_wait && day.processor.reports_lines);
     }
 
+    #[test]
+    fn a_stall_keeps_its_length_and_its_mean_pause() {
+        let trouble =
+            r#"{"kind":"balancer_stall","at":1000000,"len":8000000,"size":1900,"extra":3.5,"on":[0]}"#;
+        let day = bench_day(&json(trouble), 2.0, 1.0).expect("a bench day").day;
+        let stall = &day.troubles[0];
+        assert_eq!((stall.kind, stall.size, stall.pause), (TroubleKind::Stall, 0.95, Span(1_750_000)));
+    }
+
     #[test]
     fn every_kind_of_the_bench_is_taken_over_or_named() {
         let kinds = [
--- a/crates/lemoncleat-lab/src/day.rs
+++ b/crates/lemoncleat-lab/src/day.rs
@@ -262,7 +262,8 @@
     ListGone,
     /// Messages between servers and one node (`node`) are lost.
     DeadLink,
-    /// A node (`node`) gets no turn for `size` seconds, again and again until the end.
+    /// A node (`node`) gets no turn for `size` seconds, again and again until the end, with pauses of random
+    /// lengths (`pause` on average) between.
     Stall,
     /// A server sends half a message and no more, until the end closes the connection.
     HalfFrame,
@@ -288,6 +289,13 @@
     /// Which node.
     #[serde(default)]
     pub node: u16,
+    /// For stalls: the mean pause between one's end and the next.
+    #[serde(default = "half_a_second")]
+    pub pause: Span,
+}
+
+fn half_a_second() -> Span {
+    Trouble::PAUSE
 }
 
 fn one() -> f64 {
@@ -295,6 +303,9 @@
 }
 
 impl Trouble {
+    /// The mean pause between stalls where a script tells none.
+    pub const PAUSE: Span = Span(500_000);
+
     /// One line for tables.
     pub fn text(&self) -> String {
         let name = match self.kind {
--- a/crates/lemoncleat-lab/src/world.rs
+++ b/crates/lemoncleat-lab/src/world.rs
@@ -1140,7 +1140,8 @@
                 self.nodes[usize::from(trouble.node)].stall(time);
                 let time = time.as_micros() as Micros;
                 self.records.push(Record::Stall { at: now, node: trouble.node, time });
-                self.at(now + time + 500_000, Tick::Step(number, step + 1));
+                let pause = -self.rng.random::<f64>().max(1e-12).ln() * trouble.pause.0 as f64;
+                self.at(now + time + pause as Micros, Tick::Step(number, step + 1));
             }
             TroubleKind::Drain => self.drain_step(now, number, step),
             _ => {}
--- a/crates/lemoncleat-net/src/lib.rs
+++ b/crates/lemoncleat-net/src/lib.rs
@@ -35,6 +35,10 @@
 const READ: usize = 64 * 1024;
 /// How long a closed connection may take to write what it still holds.
 const LINGER: Duration = Duration::from_secs(2);
+/// How long a look at all sockets waits for the reactor.
+const LOOK: Duration = Duration::from_millis(1);
+/// Turns that all tasks get before nothing counts as there.
+const TURNS: usize = 4;
 /// Pause after accepting failed, as when descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -580,6 +584,25 @@
         self.event(raw?)
     }
 
+    /// Looks at every socket afresh: once this returns, tasks whose sockets had something when it was called are
+    /// due, and [`Net::ready`] gives what they read.
+    pub async fn look(&mut self) {
+        // A timer fires from a turn of the reactor that begins after its moment, and that turn looks at all
+        // sockets before it wakes anybody.
+        Timer::after(LOOK).await;
+    }
+
+    /// An event that is there, with a turn for every task that is due before the answer is no.
+    pub async fn ready(&mut self) -> Option<Event<M>> {
+        for _ in 0..TURNS {
+            if let Some(event) = self.try_next() {
+                return Some(event);
+            }
+            future::yield_now().await;
+        }
+        self.try_next()
+    }
+
     /// An event that is there already.
     pub fn try_next(&mut self) -> Option<Event<M>> {
         if let Some(event) = self.ready.pop_front() {
--- a/crates/lemoncleat-node/src/call.rs
+++ b/crates/lemoncleat-node/src/call.rs
@@ -5,6 +5,7 @@
 use lemoncleat::ServerId;
 use lemoncleat_diameter::EndToEnd;
 
+use crate::deadline::Deadline;
 use crate::node::PeerId;
 use crate::{ConnId, Micros, TimerKey};
 
@@ -21,7 +22,7 @@
     /// The request's bytes, from which attempts are made; dropped once the call stands.
     pub bytes: Box<[u8]>,
     /// When the caller gives up.
-    pub deadline: Micros,
+    pub deadline: Deadline,
     pub deadline_timer: Option<TimerKey>,
     pub attempts: u32,
     pub out: Option<Attempt>,
--- /dev/null
+++ b/crates/lemoncleat-node/src/deadline.rs
@@ -0,0 +1,56 @@
+//! A caller's deadline.
+
+use crate::Micros;
+
+/// When a caller gives up, and the moments before it that the node keeps so that its answer arrives in time:
+/// the module answers by [`Deadline::answer_by`], the node's last guard acts at [`Deadline::last_moment`], and
+/// after [`Deadline::door`] no answer leaves any more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Deadline {
+    at: Micros,
+    margin: Micros,
+}
+
+impl Deadline {
+    /// The deadline of a request that arrived at a moment and whose caller waits for `patience`. A margin of more
+    /// than half of that is cut.
+    pub fn new(arrived: Micros, patience: Micros, margin: Micros) -> Self {
+        Deadline { at: arrived + patience, margin: margin.min(patience / 2) }
+    }
+
+    /// By when the module is to have answered: the whole margin before the deadline.
+    pub fn answer_by(self) -> Micros {
+        self.at - self.margin
+    }
+
+    /// When a call without an answer is failed: half the margin before the deadline.
+    pub fn last_moment(self) -> Micros {
+        self.at - self.margin / 2
+    }
+
+    /// After this no answer leaves: a quarter of the margin before the deadline, for its way to the caller.
+    pub fn door(self) -> Micros {
+        self.at - self.margin / 4
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_moments_come_in_order_and_before_the_deadline() {
+        let deadline = Deadline::new(1_000_000, 3_000_000, 30_000);
+        assert_eq!(
+            (deadline.answer_by(), deadline.last_moment(), deadline.door()),
+            (3_970_000, 3_985_000, 3_992_500)
+        );
+    }
+
+    #[test]
+    fn a_patience_shorter_than_the_margin_leaves_half_of_itself() {
+        let deadline = Deadline::new(0, 20_000, 30_000);
+        assert_eq!((deadline.answer_by(), deadline.door()), (10_000, 17_500));
+        assert_eq!(Deadline::new(5, 0, 30_000).door(), 5, "an answer at once is still one in time");
+    }
+}
--- a/crates/lemoncleat-node/src/lib.rs
+++ b/crates/lemoncleat-node/src/lib.rs
@@ -8,6 +8,7 @@
 //! [`NumberingPlan`] finds the class and pool of first choice of a number, [`Wheel`] holds the timers.
 
 mod call;
+mod deadline;
 mod list;
 mod node;
 mod notice;
--- a/crates/lemoncleat-node/src/node/calls.rs
+++ b/crates/lemoncleat-node/src/node/calls.rs
@@ -15,10 +15,19 @@
             let host = self.host(peer);
             self.notice(Notice::BadRequest(host, fault.result, fault.text.clone()));
             let answer = refusal(message, &fault, &self.local.host, &self.local.realm);
-            return self.send(conn, answer);
+            let patience = message.number(d::SETUP_PATIENCE).filter(|_| message.header.command == d::CMD_AA);
+            let deadline = patience.map(|ms| {
+                let margin = self.settings.timing.answer_margin;
+                Deadline::new(self.arrived(), Micros::from(ms) * 1_000, margin)
+            });
+            self.answer_set_up(conn, deadline, answer);
+            return;
+        }
+        if role == Role::Client && self.defer(peer, conn, message) {
+            return;
         }
         match (role, message.header.command) {
-            (Role::Client, d::CMD_AA) => self.set_up(peer, conn, message),
+            (Role::Client, d::CMD_AA) => self.set_up(peer, conn, self.arrived(), message),
             (Role::Client, _) => self.session_terminated(conn, message),
             (Role::Server(_), _) if self.trunk(peer).is_some() => self.circuits_asked(peer, conn, message),
             (Role::Server(_), _) => self.session_aborted(peer, conn, message),
@@ -61,7 +70,8 @@
 
     // ---- Calls: from clients ----
 
-    pub(super) fn set_up(&mut self, client: PeerId, conn: ConnId, message: &MessageRef<'_>) {
+    /// A set-up that arrived at a moment that may lie before the present one.
+    pub(super) fn set_up(&mut self, client: PeerId, conn: ConnId, arrived: Micros, message: &MessageRef<'_>) {
         let origin = message.text(d::ORIGIN_HOST).unwrap_or_default();
         let host = match self.hosts.get_key_value(origin) {
             Some((host, _)) => host.clone(),
@@ -73,8 +83,12 @@
         let class = route.and_then(|route| self.settings.module.classes.get(route.class));
         let longest = class.map_or(0, |class| class.deadline);
         let told = message.number(d::SETUP_PATIENCE).map(|ms| Micros::from(ms) * 1_000);
-        let patience = told.map_or(longest, |told| told.min(longest));
-        let deadline = self.now + patience;
+        let patience = match class {
+            Some(_) => told.map_or(longest, |told| told.min(longest)),
+            // Without a class nothing bounds it; the request is turned away in any case.
+            None => told.unwrap_or(NO_CLASS_PATIENCE),
+        };
+        let deadline = Deadline::new(arrived, patience, self.settings.timing.answer_margin);
         match self.duplicates.receive(self.now, request.clone(), (self.next_call, deadline)) {
             Seen::New => {}
             Seen::Pending((id, _)) => {
@@ -85,21 +99,16 @@
                 }
                 return;
             }
-            Seen::Answered((id, ends), answer) => {
+            Seen::Answered(of, answer) => {
                 self.stats.repeats += 1;
-                if self.now < ends {
-                    let mut bytes = answer.to_vec();
-                    if let Some(place) = bytes.get_mut(12..16) {
-                        place.copy_from_slice(&message.header.hop_by_hop.to_be_bytes());
-                    }
-                    self.send(conn, bytes);
-                    if let Some(call) = self.calls.get_mut(&id) {
-                        call.unheard = false;
-                    }
-                }
-                return;
+                return self.reply_again(conn, message.header.hop_by_hop, of, &request, &answer);
             }
         }
+        if !self.is_open(deadline) {
+            // Read only after its caller had given up: nothing goes out for it, and a repeat finds that too.
+            self.stats.withheld += 1;
+            return self.duplicates.answer(self.now, &request, &[]);
+        }
         let session = message.text(d::SESSION_ID).unwrap_or_default();
         let trouble = if self.stopping {
             Some((code::TOO_BUSY, "this node is stopping"))
@@ -123,15 +132,14 @@
             let answer = self.local.sign(MessageBuilder::answer(message, result));
             let answer = answer.add_str(d::ERROR_MESSAGE, text).build();
             self.duplicates.answer(self.now, &request, &answer);
-            return self.send(conn, answer);
+            self.answer_set_up(conn, Some(deadline), answer);
+            return;
         };
         let id = self.next_call;
         self.next_call += 1;
         self.stats.calls += 1;
         let session: Arc<str> = session.into();
-        let margin = self.settings.timing.answer_margin;
-        let last = self.now + (patience - margin / 2).max(0);
-        let timer = self.wheel.set(last, Timer::Deadline(id));
+        let timer = self.wheel.set(deadline.last_moment(), Timer::Deadline(id));
         self.sessions.insert(session.clone(), id);
         let call = Call {
             session,
@@ -156,7 +164,7 @@
         self.events.push_back(Event::Call(NewCall {
             id: CallId(id),
             class: route.class,
-            patience: (patience - margin).max(1),
+            patience: (deadline.answer_by() - self.now).max(1),
             width: 1.0,
             destination: route.place,
             advised: None,
@@ -213,8 +221,10 @@
             }
             return;
         }
-        self.stats.last_moment += 1;
-        self.notice(Notice::LastMoment(id));
+        if self.gap.is_none() {
+            self.stats.last_moment += 1;
+            self.notice(Notice::LastMoment(id));
+        }
         self.answer_failure(id, code::UNABLE_TO_DELIVER, "the call could not be set up in time", 0);
         self.events.push_back(Event::CallerGone(CallId(id)));
     }
@@ -227,7 +237,8 @@
         let number = call.attempts;
         call.attempts += 1;
         let limit = self.settings.max_queue;
-        let state = self.servers.get(server);
+        let over = self.now >= call.deadline.answer_by();
+        let state = self.servers.get(server).filter(|_| !over);
         let conn = state.and_then(|state| {
             let slot = self.peers.get(state.peer.0 as usize)?;
             let conn = slot.peer.connection().filter(|_| slot.peer.is_usable())?;
@@ -238,12 +249,14 @@
             if let Some((_, host, _, _)) = conn {
                 self.notice(Notice::QueueFull(host));
             }
-            self.step(id, || CallStep::Missed(Outcome::Unreachable));
+            // Too late for an answer, nothing is sent at all.
+            let outcome = if over { Outcome::Moot } else { Outcome::Unreachable };
+            self.step(id, || CallStep::Missed(outcome));
             self.events.push_back(Event::Ended {
                 call: CallId(id),
                 attempt: number,
                 server,
-                outcome: Outcome::Unreachable,
+                outcome,
                 lag: 0,
                 closed: false,
                 reason: Reason::None,
@@ -251,7 +264,7 @@
             });
             return;
         };
-        let left = (call.deadline - self.settings.timing.answer_margin - self.now).max(1);
+        let left = call.deadline.answer_by() - self.now;
         let timeout = if timeout > 0 { timeout.min(left) } else { left };
         let timer = self.wheel.set(self.now + timeout, Timer::Attempt(id, number));
         let attempt =
@@ -435,22 +448,12 @@
             let (outcome, reason) = translate::outcome(message);
             return self.attempt_ended(id, outcome, reason, report, false);
         }
-        let Some(call) = self.calls.get_mut(&id) else { return };
-        call.out = None;
-        call.standing = Some((out.server, out.peer));
-        call.circuit = out.circuit;
-        let answer = success_answer(call, message);
-        call.bytes = Box::default();
         self.wheel.cancel(out.timer);
-        self.standing += 1;
-        self.stats.stood += 1;
-        self.peers[out.peer.0 as usize].calls += 1;
-        let lag = self.now - out.sent;
         self.events.push_back(Event::Started {
             call: CallId(id),
             attempt: out.number,
             server: out.server,
-            lag,
+            lag: self.now - out.sent,
         });
         let report = match self.trunk(out.peer) {
             Some(trunk) => Some(trunk.report(report)),
@@ -459,10 +462,42 @@
         if let Some(report) = report {
             self.events.push_back(Event::Probed { server: out.server, outcome: Outcome::Ok, lag: 0, report });
         }
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        call.out = None;
+        call.circuit = out.circuit;
+        let answer = success_answer(call, message);
+        if self.now > call.deadline.door() {
+            return self.stood_too_late(id, out, answer);
+        }
+        call.standing = Some((out.server, out.peer));
+        call.bytes = Box::default();
+        self.standing += 1;
+        self.stats.stood += 1;
+        self.peers[out.peer.0 as usize].calls += 1;
         self.step(id, || CallStep::Stands);
         self.reply(id, answer);
     }
 
+    /// A success that comes after its caller's deadline is released at its server, and nothing goes out for it.
+    fn stood_too_late(&mut self, id: u64, out: Attempt, answer: Vec<u8>) {
+        let Some(session) = self.calls.get(&id).map(|call| call.session.clone()) else { return };
+        self.stats.late += 1;
+        self.reply(id, answer);
+        self.step(id, || CallStep::Ended("it stood after its deadline"));
+        self.release_call(out.peer, out.circuit, &session, CAUSE_NOT_PROVIDED);
+        self.remove_call(id);
+        self.events.push_back(Event::Ended {
+            call: CallId(id),
+            attempt: out.number,
+            server: out.server,
+            outcome: Outcome::Cancelled,
+            lag: self.now - out.sent,
+            closed: true,
+            reason: Reason::None,
+            report: Report::default(),
+        });
+    }
+
     pub(super) fn session_aborted(&mut self, peer: PeerId, conn: ConnId, message: &MessageRef<'_>) {
         let session = message.text(d::SESSION_ID).unwrap_or_default();
         let call = self.sessions.get(session).copied().filter(|id| {
@@ -491,27 +526,12 @@
             answer = answer.add_u32(d::COME_BACK_AFTER, ms);
         }
         let answer = answer.build();
-        self.step(id, || CallStep::Answered(result));
-        self.reply(id, answer);
-        self.remove_call(id);
-    }
-
-    /// Gives a call's answer to its client, on the connection of its latest transmission, and keeps it for
-    /// repeats. While the client is away it is only kept.
-    pub(super) fn reply(&mut self, id: u64, mut answer: Vec<u8>) {
-        let Some(call) = self.calls.get_mut(&id) else { return };
-        let (conn, request) = (call.conn, call.request.clone());
-        if let Some(place) = answer.get_mut(12..16) {
-            place.copy_from_slice(&call.hop_by_hop.to_be_bytes());
-        }
-        call.unheard = !self.conns.contains_key(&conn);
-        if !call.unheard && call.standing.is_some() {
-            if let Some(timer) = call.deadline_timer.take() {
-                self.wheel.cancel(timer);
-            }
+        if self.reply(id, answer) {
+            self.step(id, || CallStep::Answered(result));
+        } else {
+            self.step(id, || CallStep::Ended("its deadline was over"));
         }
-        self.duplicates.answer(self.now, &request, &answer);
-        self.send(conn, answer);
+        self.remove_call(id);
     }
 
     /// Ends a standing call toward its server.
@@ -572,6 +592,8 @@
             self.standing -= 1;
             let at = &mut self.peers[peer.0 as usize].calls;
             *at = at.saturating_sub(1);
+        } else {
+            self.close_held_events(id);
         }
         let at = &mut self.peers[call.client.0 as usize].calls;
         *at = at.saturating_sub(1);
@@ -581,6 +603,9 @@
     }
 }
 
+/// How long a request without a class is taken to be waited for; it is turned away at once.
+const NO_CLASS_PATIENCE: Micros = 9_000_000;
+
 /// How long a release may stay unanswered before it is sent again, and how often.
 pub(super) const RELEASE_AGAIN: Micros = 2_000_000;
 pub(super) const RELEASE_TRIES: u32 = 5;
--- a/crates/lemoncleat-node/src/node/mod.rs
+++ b/crates/lemoncleat-node/src/node/mod.rs
@@ -1,6 +1,8 @@
 //! The node: its inputs and outputs, its timers, and the way between events and actions.
 
 mod calls;
+mod door;
+mod gap;
 mod peers;
 mod stopping;
 mod trunks;
@@ -27,11 +29,12 @@
 use rustc_hash::FxHashMap;
 
 use crate::call::{Attempt, Call, Request};
+use crate::deadline::Deadline;
 use crate::list::ListNews;
 use crate::notice::{CallStep, Notice};
 use crate::servers::Servers;
 use crate::settings::NodeSettings;
-use crate::{translate, Micros, Wheel};
+use crate::{translate, Micros, TimerKey, Wheel};
 
 /// A peer, as numbered by the node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -58,6 +61,11 @@
     List(ListNews),
     /// Time has passed: at or after [`Node::wake`].
     Timeout,
+    /// The loop had no turn since this moment, when it last looked at its sockets. What comes until
+    /// [`Input::CaughtUp`] may have come at any time since.
+    Away(Micros),
+    /// All that came while the loop had no turn has been handed over.
+    CaughtUp,
     /// Stop in order.
     Stop,
 }
@@ -104,6 +112,10 @@
     pub turned_away: u64,
     /// Calls that the node's own last guard had to fail.
     pub last_moment: u64,
+    /// Answers that stayed here because their caller's deadline was over, and requests read only after it.
+    pub withheld: u64,
+    /// Gaps in the loop's turns.
+    pub gaps: u64,
     /// Calls that servers set up toward clients.
     pub incoming: u64,
     /// Circuits lost to the other end's seizure.
@@ -161,6 +173,8 @@
     Trunk(PeerId),
     SeizeAgain(u64, u32),
     Drained,
+    IncomingDeadline(PeerId, u64),
+    CaughtUp(u64),
 }
 
 /// The core of an access node.
@@ -177,9 +191,15 @@
     sessions: HashMap<Arc<str>, u64>,
     /// Calls that servers set up: whose, and which of theirs.
     incoming_sessions: HashMap<Arc<str>, (PeerId, u64)>,
-    duplicates: Duplicates<(u64, Micros)>,
+    duplicates: Duplicates<(u64, Deadline)>,
     next_call: u64,
     events: VecDeque<Event>,
+    /// A gap whose backlog is being read.
+    gap: Option<gap::Gap>,
+    /// The gap before, while requests of it still wait.
+    over: Option<gap::Gap>,
+    /// Requests that wait for their turn after a gap.
+    deferred: VecDeque<gap::Deferred>,
     actions: Vec<Action>,
     standing: usize,
     stopping: bool,
@@ -225,6 +245,9 @@
             duplicates,
             next_call: 0,
             events: VecDeque::new(),
+            gap: None,
+            over: None,
+            deferred: VecDeque::new(),
             actions: Vec::new(),
             standing: 0,
             stopping: false,
@@ -259,6 +282,9 @@
 
     /// When to call with [`Input::Timeout`] at the latest.
     pub fn wake(&self) -> Option<Micros> {
+        if self.gap.is_none() && !self.deferred.is_empty() {
+            return Some(self.now);
+        }
         self.wheel.wake()
     }
 
@@ -292,10 +318,13 @@
             }
             Input::List(news) => self.list(news),
             Input::Timeout => {}
+            Input::Away(since) => self.away(since),
+            Input::CaughtUp => self.caught_up(),
             Input::Stop => self.stop(),
         }
         self.settle();
         self.timers();
+        self.begin_deferred();
         out.append(&mut self.out);
     }
 
@@ -335,42 +364,50 @@
 
     fn timers(&mut self) {
         while let Some(timer) = self.wheel.pop(self.now) {
-            match timer {
-                Timer::Module(token) => self.events.push_back(Event::Timer(token)),
-                Timer::Attempt(call, number) => {
-                    let out = self.calls.get(&call).and_then(|call| call.out);
-                    if out.is_some_and(|out| out.number == number) {
-                        self.give_up_attempt(call, Outcome::TimedOut, false);
-                    }
+            if !self.holds(timer) {
+                self.run_timer(timer);
+                self.settle();
+            }
+        }
+    }
+
+    fn run_timer(&mut self, timer: Timer) {
+        match timer {
+            Timer::Module(token) => self.events.push_back(Event::Timer(token)),
+            Timer::Attempt(call, number) => {
+                let out = self.calls.get(&call).and_then(|call| call.out);
+                if out.is_some_and(|out| out.number == number) {
+                    self.give_up_attempt(call, Outcome::TimedOut, false);
                 }
-                Timer::Deadline(call) => self.last_moment(call),
-                Timer::Peer(peer) => {
-                    if let Some(slot) = self.peers.get_mut(peer.0 as usize) {
-                        slot.armed = None;
-                        if slot.peer.due().is_some_and(|due| due <= self.now) {
-                            self.tell_peer(peer, PeerInput::Timeout);
-                        } else {
-                            self.arm(peer);
-                        }
+            }
+            Timer::Deadline(call) => self.last_moment(call),
+            Timer::Peer(peer) => {
+                if let Some(slot) = self.peers.get_mut(peer.0 as usize) {
+                    slot.armed = None;
+                    if slot.peer.due().is_some_and(|due| due <= self.now) {
+                        self.tell_peer(peer, PeerInput::Timeout);
+                    } else {
+                        self.arm(peer);
                     }
                 }
-                Timer::Unidentified(conn) => {
-                    if self.conns.get(&conn).is_some_and(|conn| conn.owner.is_none()) {
-                        self.notice(Notice::NoCapabilities(conn));
-                        self.close(conn);
-                    }
+            }
+            Timer::Unidentified(conn) => {
+                if self.conns.get(&conn).is_some_and(|conn| conn.owner.is_none()) {
+                    self.notice(Notice::NoCapabilities(conn));
+                    self.close(conn);
                 }
-                Timer::Return(peer, epoch) => self.did_not_return(peer, epoch),
-                Timer::Late(peer, epoch, id) => {
-                    if self.peers.get(peer.0 as usize).is_some_and(|slot| slot.epoch == epoch) {
-                        self.unanswered(peer, id);
-                    }
+            }
+            Timer::Return(peer, epoch) => self.did_not_return(peer, epoch),
+            Timer::Late(peer, epoch, id) => {
+                if self.peers.get(peer.0 as usize).is_some_and(|slot| slot.epoch == epoch) {
+                    self.unanswered(peer, id);
                 }
-                Timer::Trunk(peer) => self.trunk_timeout(peer),
-                Timer::SeizeAgain(call, number) => self.seize_again(call, number),
-                Timer::Drained => self.finish_stopping(true),
             }
-            self.settle();
+            Timer::Trunk(peer) => self.trunk_timeout(peer),
+            Timer::SeizeAgain(call, number) => self.seize_again(call, number),
+            Timer::Drained => self.finish_stopping(true),
+            Timer::IncomingDeadline(peer, call) => self.incoming_last_moment(peer, call),
+            Timer::CaughtUp(number) => self.caught_up_late(number),
         }
     }
 
@@ -378,6 +415,9 @@
 
     /// Gives the module its events and carries its actions out, until neither is left.
     fn settle(&mut self) {
+        if self.holds_events() {
+            return;
+        }
         while let Some(event) = self.events.pop_front() {
             let mut actions = std::mem::take(&mut self.actions);
             self.controller.handle(self.now, event, &mut actions);
--- a/crates/lemoncleat-node/src/node/trunks.rs
+++ b/crates/lemoncleat-node/src/node/trunks.rs
@@ -39,6 +39,9 @@
     pub client: Option<PeerId>,
     /// The token of its seizure, which is owed an answer.
     token: Token,
+    /// When its caller gives up, where its request tells.
+    deadline: Option<Deadline>,
+    deadline_timer: Option<TimerKey>,
 }
 
 impl Trunk {
@@ -62,6 +65,11 @@
         }
     }
 
+    /// The deadline of the set-up that arrived with this token.
+    fn deadline(&self, token: Token) -> Option<Deadline> {
+        self.incoming.values().find(|held| held.token == token).and_then(|held| held.deadline)
+    }
+
     /// What the group tells the module: circuits free and in all.
     pub fn report(&self, report: Option<Report>) -> Report {
         Report {
@@ -324,7 +332,7 @@
 
     fn yielded(&mut self, id: u64) {
         let Some(call) = self.calls.get_mut(&id) else { return };
-        let left = call.deadline - self.settings.timing.answer_margin - self.now;
+        let left = call.deadline.answer_by() - self.now;
         let Some(out) = call.out.as_mut() else { return };
         out.yields += 1;
         out.circuit = None;
@@ -445,7 +453,11 @@
             _ => MessageBuilder::answer(&request, code::SUCCESS),
         };
         let answer = self.local.sign(answer).build();
-        self.send(conn, answer);
+        let deadline = match request.header.command {
+            d::CMD_AA => trunk.deadline(token),
+            _ => None,
+        };
+        self.answer_set_up(conn, deadline, answer);
     }
 
     // ---- What a server asks for ----
@@ -454,19 +466,28 @@
     pub(super) fn circuits_asked(&mut self, peer: PeerId, conn: ConnId, message: &MessageRef<'_>) {
         let head = message.header;
         let session = message.text(d::SESSION_ID).unwrap_or_default();
+        let (arrived, margin) = (self.arrived(), self.settings.timing.answer_margin);
         let Some(trunk) = self.peers.get_mut(peer.0 as usize).and_then(|slot| slot.trunk.as_mut()) else {
             return;
         };
         let circuit = message.number(d::CIRCUIT_ID);
+        let patience = message.number(d::SETUP_PATIENCE).map(|ms| Micros::from(ms) * 1_000);
+        let deadline = patience.map(|time| Deadline::new(arrived, time, margin));
         let (token, request) = match (head.command, circuit) {
             (d::CMD_AA, Some(circuit)) => {
                 let call = trunk.next_ref;
                 trunk.next_ref += 1;
                 let session: Arc<str> = session.into();
-                trunk.incoming.insert(
-                    call,
-                    Incoming { session: session.clone(), circuit, client: None, token: head.hop_by_hop },
-                );
+                let timer = Timer::IncomingDeadline(peer, call);
+                let held = Incoming {
+                    session: session.clone(),
+                    circuit,
+                    client: None,
+                    token: head.hop_by_hop,
+                    deadline,
+                    deadline_timer: deadline.map(|deadline| self.wheel.set(deadline.last_moment(), timer)),
+                };
+                trunk.incoming.insert(call, held);
                 self.incoming_sessions.insert(session, (peer, call));
                 (head.hop_by_hop, Some(CircuitRequest::Seize { circuit, call }))
             }
@@ -560,9 +581,23 @@
         if !held {
             return;
         }
+        let deadline = self.trunk(server).and_then(|t| t.incoming.get(&call)).and_then(|held| held.deadline);
+        if result == code::SUCCESS && deadline.is_some_and(|deadline| !self.is_open(deadline)) {
+            // Its caller at the server has given up: the client that took it is told that it is over.
+            self.stats.late += 1;
+            self.with_group(server, |group, now, out| group.release(now, circuit, out));
+            return self.incoming_over(server, call, true);
+        }
         if result == code::SUCCESS {
-            let session =
-                self.trunk(server).and_then(|t| t.incoming.get(&call)).map(|held| held.session.clone());
+            let mut timer = None;
+            let session = self.peers[server.0 as usize].trunk.as_mut().and_then(|trunk| {
+                let held = trunk.incoming.get_mut(&call)?;
+                timer = held.deadline_timer.take();
+                Some(held.session.clone())
+            });
+            if let Some(timer) = timer {
+                self.wheel.cancel(timer);
+            }
             if let (Some(session), Some(trunk)) = (session, self.peers[server.0 as usize].trunk.as_mut()) {
                 trunk.sessions.insert((false, call), session);
             }
@@ -574,6 +609,18 @@
         }
     }
 
+    /// A call of a server whose client has not answered by the last moment is failed.
+    pub(super) fn incoming_last_moment(&mut self, peer: PeerId, call: CallRef) {
+        let Some(trunk) = self.peers.get_mut(peer.0 as usize).and_then(|slot| slot.trunk.as_mut()) else {
+            return;
+        };
+        let Some(held) = trunk.incoming.get_mut(&call) else { return };
+        held.deadline_timer = None;
+        let circuit = held.circuit;
+        self.with_group(peer, |group, now, out| group.release(now, circuit, out));
+        self.incoming_over(peer, call, true);
+    }
+
     /// A client releases a call that a server had set up.
     pub(super) fn incoming_released(&mut self, session: &str) -> bool {
         let Some((peer, call)) = self.incoming_sessions.get(session).copied() else { return false };
@@ -592,6 +639,9 @@
         };
         let Some(held) = trunk.incoming.remove(&call) else { return };
         let unanswered = trunk.arriving.remove(&held.token);
+        if let Some(timer) = held.deadline_timer {
+            self.wheel.cancel(timer);
+        }
         if self.incoming_sessions.get(&held.session) == Some(&(peer, call)) {
             self.incoming_sessions.remove(&held.session);
         }
@@ -600,7 +650,7 @@
             if let Ok(request) = MessageRef::parse(&bytes) {
                 let answer = MessageBuilder::answer(&request, code::UNABLE_TO_COMPLY);
                 let answer = self.local.sign(answer).build();
-                self.send(conn, answer);
+                self.answer_set_up(conn, held.deadline, answer);
             }
         }
         if let (true, Some(client)) = (tell, held.client) {
--- a/crates/lemoncleat-node/src/notice.rs
+++ b/crates/lemoncleat-node/src/notice.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::sync::Arc;
 
-use lemoncleat_diameter::{ConnId, DisconnectCause, DownReason, FrameError};
+use lemoncleat_diameter::{ConnId, DisconnectCause, DownReason, FrameError, Micros};
 
 /// How urgent a notice is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -60,6 +60,24 @@
     QueueFull(Arc<str>),
     /// A call reached its last moment without an answer from the module, and was failed.
     LastMoment(u64),
+    /// An answer stayed here: its caller's deadline was over by so much.
+    Withheld {
+        /// The call's Session-Id.
+        session: Arc<str>,
+        /// The answer's Result-Code.
+        result: u32,
+        /// How late it was, in microseconds.
+        late: Micros,
+    },
+    /// The node had no turn for a while, and has read what came meanwhile.
+    Away {
+        /// From its last turn until the next, in microseconds.
+        time: Micros,
+        /// Set-ups that came meanwhile.
+        set_ups: usize,
+        /// Answers that stayed here because their caller's deadline had passed.
+        withheld: u64,
+    },
     /// A peer's trunk group is not as it is here.
     CircuitsDiffer(Arc<str>, String),
     /// An audit mended a circuit.
@@ -129,6 +147,15 @@
             Notice::CallsFull(host) => write!(f, "call of {host} turned away: too many calls"),
             Notice::QueueFull(host) => write!(f, "too much waits to be written to {host}"),
             Notice::LastMoment(call) => write!(f, "call {call} failed at its last moment"),
+            Notice::Withheld { session, result, late } => {
+                let ms = *late as f64 / 1e3;
+                write!(f, "answer {result} of call {session} withheld: {ms:.1} ms too late for its caller")
+            }
+            Notice::Away { time, set_ups, withheld } => write!(
+                f,
+                "no turn for {} ms: {set_ups} set-ups came meanwhile, {withheld} answers were too late",
+                time / 1_000
+            ),
             Notice::CircuitsDiffer(host, how) => write!(f, "circuits toward {host} differ: {how}"),
             Notice::CircuitMended(host, circuit, how) => {
                 write!(f, "circuit {circuit} toward {host} mended by audit: {how}")
--- a/crates/lemoncleat-node/src/settings.rs
+++ b/crates/lemoncleat-node/src/settings.rs
@@ -21,6 +21,8 @@
     pub open: Micros,
     /// How long a peer may take to close after DPR.
     pub close: Micros,
+    /// A loop without a turn for longer than this has been away: see [`Input::Away`](crate::Input::Away).
+    pub gap: Micros,
     /// How much earlier than the caller the node stops waiting, so that its answer arrives in time.
     pub answer_margin: Micros,
     /// How long a client that lost its connection may take to come back before its calls are given up.
@@ -42,6 +44,7 @@
             backoff: Backoff { first: 100_000, most: 10_000_000 },
             open: 2_000_000,
             close: 1_000_000,
+            gap: 50_000,
             answer_margin: 30_000,
             client_return: 5_000_000,
             server_return: 10_000_000,
--- a/crates/lemoncleat-node/tests/common/mod.rs
+++ b/crates/lemoncleat-node/tests/common/mod.rs
@@ -145,6 +145,22 @@
         self.input(Input::Timeout);
     }
 
+    /// The node had no turn for a span; what follows until [`Bench::caught_up`] is its backlog.
+    pub fn away(&mut self, span: Micros) {
+        let since = self.now;
+        self.now += span;
+        self.input(Input::Away(since));
+    }
+
+    /// The backlog is handed over; the node gets the turns that it asks for at once.
+    pub fn caught_up(&mut self) {
+        self.input(Input::CaughtUp);
+        while self.node.wake().is_some_and(|wake| wake <= self.now) {
+            self.now += MS;
+            self.input(Input::Timeout);
+        }
+    }
+
     /// What an end received since it was last asked.
     pub fn take(&mut self, conn: ConnId) -> Vec<Got> {
         self.inbox.remove(&conn).unwrap_or_default()
@@ -226,11 +242,7 @@
 
     /// A server answers a request.
     pub fn answer(&mut self, conn: ConnId, request: &Got, result: u32) {
-        let answer = MessageBuilder::answer(&request.message(), result)
-            .add_str(d::ORIGIN_HOST, "a.example")
-            .add_str(d::ORIGIN_REALM, "example")
-            .build();
-        self.input(Input::Bytes(conn, &answer));
+        self.input(Input::Bytes(conn, &answer_of(request, result)));
     }
 
     /// A peer answers all watchdogs that it received and gives back the rest.
@@ -244,6 +256,14 @@
     }
 }
 
+/// The answer of a server to a request.
+pub fn answer_of(request: &Got, result: u32) -> Vec<u8> {
+    MessageBuilder::answer(&request.message(), result)
+        .add_str(d::ORIGIN_HOST, "a.example")
+        .add_str(d::ORIGIN_REALM, "example")
+        .build()
+}
+
 pub fn capabilities(message: MessageBuilder, host: &str, state_id: u32) -> Vec<u8> {
     message
         .add_str(d::ORIGIN_HOST, host)
--- a/crates/lemoncleat-node/tests/trunks.rs
+++ b/crates/lemoncleat-node/tests/trunks.rs
@@ -371,3 +371,82 @@
     bench.answer(client, &offered, code::SUCCESS);
     assert!(bench.take(server).is_empty() && states(&bench).is_empty());
 }
+
+#[test]
+fn a_success_on_a_circuit_after_the_deadline_frees_the_circuit_and_is_not_passed_on() {
+    for told in [false, true] {
+        let (mut bench, server, client) = ready(4, Order::Lowest);
+        bench.call(client, "s;1");
+        let attempt = bench.one(server, "AAR");
+        // With and without a word of the gap: past the deadline either way.
+        match told {
+            true => bench.away(4 * SECOND),
+            false => bench.now += 4 * SECOND,
+        }
+        bench.answer(server, &attempt, code::SUCCESS);
+        bench.caught_up();
+        assert!(bench.take(client).is_empty(), "nothing goes out for the call");
+        let releases: Vec<Got> = bench.take(server).into_iter().filter(|got| got.name() == "STR").collect();
+        assert!(!releases.is_empty() && releases.iter().all(|got| circuit(got) == 0), "{releases:?}");
+        for release in &releases {
+            bench.answer(server, release, code::SUCCESS);
+        }
+        assert!(states(&bench).is_empty(), "no circuit is lost: {:?}", states(&bench));
+        assert_eq!((bench.node.stats().setting_up, bench.node.stats().standing), (0, 0));
+    }
+}
+
+/// The server seizes a circuit for a call whose caller waits for so many milliseconds.
+fn seize_with_patience(bench: &mut Bench, server: ConnId, circuit: u32, session: &str, ms: u32) {
+    let id = bench.id();
+    let request = MessageBuilder::request(d::CMD_AA, d::APP_NAS, true, id, id)
+        .add_str(d::SESSION_ID, session)
+        .add_u32(d::AUTH_APPLICATION_ID, d::APP_NAS)
+        .add_str(d::ORIGIN_HOST, "a.example")
+        .add_str(d::ORIGIN_REALM, "example")
+        .add_str(d::DESTINATION_REALM, "example")
+        .add_str(d::DESTINATION_HOST, "front.example")
+        .add_u32(d::AUTH_REQUEST_TYPE, 1)
+        .add_u32(d::SETUP_PATIENCE, ms)
+        .add_u32(d::CIRCUIT_ID, circuit)
+        .build();
+    bench.bytes(server, &request);
+}
+
+#[test]
+fn a_call_of_the_server_that_its_client_takes_too_late_is_over_at_both_ends() {
+    let (mut bench, server, client) = ready(4, Order::Lowest);
+    seize_with_patience(&mut bench, server, 1, "far;1", 2_000);
+    let offered = bench.one(client, "AAR");
+    bench.away(3 * SECOND);
+    bench.answer(client, &offered, code::SUCCESS);
+    bench.caught_up();
+    let at_server: Vec<Got> = bench.take(server);
+    assert!(at_server.iter().all(|got| got.name() != "AAA"), "no answer past its deadline: {at_server:?}");
+    let at_client: Vec<Got> = bench.take(client);
+    assert!(
+        at_client.iter().any(|got| got.name() == "ASR"),
+        "the client that took it is told: {at_client:?}"
+    );
+    // The far end gave the call up at its deadline, and releases the circuit.
+    let release = session_request(d::CMD_SESSION_TERMINATION, "a.example", None, "far;1", 5_000);
+    bench.bytes(server, &release);
+    assert_eq!(bench.one(server, "STA").result(), code::SUCCESS);
+    assert!(states(&bench).is_empty(), "{:?}", states(&bench));
+}
+
+#[test]
+fn a_call_of_the_server_whose_client_is_silent_fails_before_its_deadline() {
+    let (mut bench, server, client) = ready(4, Order::Lowest);
+    seize_with_patience(&mut bench, server, 1, "far;1", 2_000);
+    let offered = bench.one(client, "AAR");
+    bench.pass(2 * SECOND - 8 * MS);
+    let at_server: Vec<Got> = bench.take(server);
+    let answers: Vec<u32> =
+        at_server.iter().filter(|got| got.name() == "AAA").map(|got| got.result()).collect();
+    assert_eq!(answers.len(), 1, "one answer in time: {at_server:?}");
+    assert_ne!(answers[0], code::SUCCESS);
+    // The client answers after all: nothing more goes to the server for it.
+    bench.answer(client, &offered, code::SUCCESS);
+    assert!(bench.take(server).iter().all(|got| got.name() != "AAA"));
+}
--- a/crates/lemoncleat-service/src/config.rs
+++ b/crates/lemoncleat-service/src/config.rs
@@ -37,6 +37,9 @@
     pub filter: String,
 }
 
+/// The shortest `timing.gap`.
+const SHORTEST_GAP: i64 = 10_000;
+
 /// A mistake in a settings file.
 pub type ConfigError = Error;
 
@@ -315,7 +318,7 @@
 
 spans! {
     TimingFile {
-        open, close, answer_margin, client_return, server_return, duplicates, late_answers, drain,
+        open, close, gap, answer_margin, client_return, server_return, duplicates, late_answers, drain,
     } from Timing::default()
 }
 
@@ -405,6 +408,9 @@
         if self.timing.watchdog.0 <= 0 {
             return bad("timing.watchdog", "expected a span above zero");
         }
+        if self.timing.gap.0 < SHORTEST_GAP {
+            return bad("timing.gap", "expected 10ms at least: half of it is how often an idle loop turns");
+        }
         if self.limits.message.0 < 4096 || self.limits.message.0 > 0x00ff_ffff {
             return bad("limits.message", "expected 4KiB to 16777215");
         }
@@ -548,6 +554,7 @@
             (" (number 1)", "number: 1, expected less than nodes (1)"),
             (" (servers (server (host a) (address 1.1.1.1:1)))", "servers: beside a feed"),
             (" (limits (message 100))", "limits.message: expected 4KiB"),
+            (" (timing (gap 1ms))", "timing.gap: expected 10ms at least"),
             (" (limits (sessions 3))", "limits: unknown field `sessions`"),
             (" (cold (from 0))", "cold servers must be above zero"),
         ];
--- a/crates/lemoncleat-service/src/service.rs
+++ b/crates/lemoncleat-service/src/service.rs
@@ -9,12 +9,19 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use lemoncleat_net::{client_config, server_config, Event, Mailbox, MinVersion, Net, ServerName, TlsFiles};
-use lemoncleat_node::{ConnId, Input, ListEntry, ListNews, Node, NodeSettings, Output, PeerId, Stats};
+use lemoncleat_node::{
+    ConnId, Input, ListEntry, ListNews, Micros, Node, NodeSettings, Output, PeerId, Stats,
+};
 
 use crate::{control, feed, log};
 
-/// Events handled before what they led to is written.
+/// Events handled before what they led to is written, and how long that may take.
 const BATCH: usize = 128;
+const BATCH_TIME: Micros = 2_000;
+/// Bytes given to the core with one look at the clock.
+const SLICE: usize = 8 * 1024;
+/// How long reading what came during a gap may take.
+const CATCH_UP: Micros = 200_000;
 /// Tags of the listeners for peers and for operators.
 const PEERS: u64 = 0;
 const CONTROL: u64 = 1;
@@ -165,6 +172,7 @@
         let seed = settings.seed.unwrap_or(since_epoch.as_nanos() as u64);
         let host = settings.node.host.clone();
         let open = Duration::from_micros(settings.node.timing.open.max(1) as u64);
+        let gap = settings.node.timing.gap;
         // Seconds grow from start to start, as RFC 6733 section 8.16 suggests.
         let state_id = since_epoch.as_secs() as u32;
         let node =
@@ -195,8 +203,13 @@
             open,
             outputs: Vec::new(),
             operators: HashMap::new(),
+            gap,
+            looked: 0,
+            away: false,
+            stopped: false,
         };
         service.load_tls().map_err(ServiceError::Settings)?;
+        service.looked = service.clock();
         if !settings.servers.is_empty() {
             service.handle(Input::List(ListNews::Complete(settings.servers)));
         }
@@ -215,11 +228,34 @@
     outputs: Vec<Output>,
     /// Connections of the control port, and what came on them.
     operators: HashMap<u64, Vec<u8>>,
+    /// Two looks at the clock further apart than this have a gap between them.
+    gap: Micros,
+    /// The last look at the clock.
+    looked: Micros,
+    /// What came during a gap has not been read yet.
+    away: bool,
+    /// The core has stopped.
+    stopped: bool,
 }
 
 impl Service {
+    fn clock(&self) -> Micros {
+        self.start.elapsed().as_micros() as Micros
+    }
+
+    /// Looks at the clock, and tells the core if the loop had no turn for long before that.
+    fn turn(&mut self) -> Micros {
+        let now = self.clock();
+        if now - self.looked > self.gap {
+            self.node.handle(now, Input::Away(self.looked), &mut self.outputs);
+            self.away = true;
+        }
+        self.looked = now;
+        now
+    }
+
     fn handle(&mut self, input: Input<'_>) {
-        let now = self.start.elapsed().as_micros() as i64;
+        let now = self.turn();
         self.node.handle(now, input, &mut self.outputs);
     }
 
@@ -248,9 +284,8 @@
         self.net.dial(address, tag, self.open);
     }
 
-    /// Carries out what the core asked for; whether it has stopped.
-    fn perform(&mut self) -> bool {
-        let mut stopped = false;
+    /// Carries out what the core asked for.
+    fn perform(&mut self) {
         for output in std::mem::take(&mut self.outputs) {
             match output {
                 Output::Dial(peer, address) => self.dial(peer, address),
@@ -258,41 +293,77 @@
                 Output::Send(conn, bytes) => self.net.send(conn.0, &bytes),
                 Output::Close(conn) => self.net.close(conn.0),
                 Output::Notice(notice) => log::emit(&self.host, &notice),
-                Output::Stopped => stopped = true,
+                Output::Stopped => self.stopped = true,
             }
         }
-        stopped
     }
 
     async fn run(mut self) -> Stats {
+        let moment = |start: Instant, at: Micros| start + Duration::from_micros(at.max(0) as u64);
         loop {
-            let wake = self.node.wake().map(|at| self.start + Duration::from_micros(at.max(0) as u64));
-            let mut event = self.net.next(wake).await;
-            for _ in 0..BATCH {
-                match event.take() {
-                    Some(event) => self.event(event).await,
-                    None => break,
-                }
-                event = self.net.try_next();
-            }
-            if let Some(event) = event {
-                self.event(event).await;
-            }
+            // Between two looks lies at most half a gap, so that a longer pause is seen for what it is.
+            let beat = self.looked + self.gap / 2;
+            let wake = self.node.wake().map_or(beat, |wake| wake.min(beat));
+            let event = self.net.next(Some(moment(self.start, wake))).await;
+            self.turn();
+            self.batch(event).await;
             self.handle(Input::Timeout);
-            if self.write() {
+            self.write();
+            if self.away {
+                self.catch_up().await;
+            }
+            if self.stopped {
                 return self.node.stats();
             }
         }
     }
 
-    /// Writes what there is and tells the core how much went out; whether it has stopped.
-    fn write(&mut self) -> bool {
-        let mut stopped = self.perform();
+    /// Handles an event and those that are there behind it, as far as what they lead to can wait.
+    async fn batch(&mut self, mut event: Option<Event<Control>>) {
+        let until = self.clock() + BATCH_TIME;
+        for _ in 0..BATCH {
+            match event.take() {
+                Some(event) => self.event(event).await,
+                None => return,
+            }
+            if self.clock() > until {
+                return;
+            }
+            event = self.net.try_next();
+        }
+        if let Some(event) = event {
+            self.event(event).await;
+        }
+    }
+
+    /// After a gap: hands over all that came meanwhile, and tells the core when that is done.
+    async fn catch_up(&mut self) {
+        while std::mem::take(&mut self.away) {
+            let until = self.clock() + CATCH_UP;
+            // What is met first may be an accepted connection, whose bytes only the second look finds.
+            for _ in 0..2 {
+                self.net.look().await;
+                while let Some(event) = self.net.ready().await {
+                    self.batch(Some(event)).await;
+                    self.write();
+                    if self.clock() > until {
+                        break;
+                    }
+                }
+            }
+            // A further gap while reading: what came in that is to be read too.
+            self.turn();
+        }
+        self.handle(Input::CaughtUp);
+    }
+
+    /// Writes what there is and tells the core how much went out.
+    fn write(&mut self) {
+        self.perform();
         for (conn, count) in self.net.flush() {
             self.handle(Input::Wrote(ConnId(conn), count));
-            stopped |= self.perform();
+            self.perform();
         }
-        stopped
     }
 
     /// Bytes on the control port: each whole line is answered.
@@ -301,7 +372,7 @@
         held.extend_from_slice(bytes);
         while let Some(end) = held.iter().position(|byte| *byte == b'\n') {
             let line: Vec<u8> = held.drain(..=end).collect();
-            let now = self.start.elapsed().as_micros() as i64;
+            let now = self.turn();
             let answer = control::answer(&mut self.node, now, &line, &mut self.outputs);
             self.net.send(conn, format!("{answer}\n").as_bytes());
         }
@@ -326,7 +397,11 @@
             Event::Closed { conn } if self.operators.remove(&conn).is_some() => {}
             Event::Dialled { tag, conn } => self.handle(Input::Dialled(PeerId(tag as u32), ConnId(conn))),
             Event::DialFailed { tag } => self.handle(Input::DialFailed(PeerId(tag as u32))),
-            Event::Bytes { conn, bytes } => self.handle(Input::Bytes(ConnId(conn), &bytes)),
+            Event::Bytes { conn, bytes } => {
+                for slice in bytes.chunks(SLICE) {
+                    self.handle(Input::Bytes(ConnId(conn), slice));
+                }
+            }
             Event::Closed { conn } => self.handle(Input::Closed(ConnId(conn))),
             Event::Message(Control::List(news)) => self.handle(Input::List(news)),
             Event::Message(Control::ReloadTls) => match self.load_tls() {
--- a/crates/lemoncleat-service/tests/tls.rs
+++ b/crates/lemoncleat-service/tests/tls.rs
@@ -1,10 +1,13 @@
 //! A node whose connections speak TLS, between a client and a server played by hand.
 
+mod common;
+
 use std::collections::HashMap;
 use std::net::TcpListener;
 use std::path::PathBuf;
 use std::time::Duration;
 
+use common::{aar, capabilities, cer, dwr};
 use lemoncleat_diameter::dictionary as d;
 use lemoncleat_diameter::{FrameReader, MessageBuilder, MessageRef};
 use lemoncleat_net::{client_config, server_config, Event, MinVersion, Net, ServerName, TlsFiles};
@@ -105,20 +108,6 @@
     }
 }
 
-fn capabilities(message: MessageBuilder, host: &str) -> Vec<u8> {
-    message
-        .add_str(d::ORIGIN_HOST, host)
-        .add_str(d::ORIGIN_REALM, "example")
-        .add_u32(d::VENDOR_ID, 0)
-        .add_str(d::PRODUCT_NAME, "by hand")
-        .add_u32(d::AUTH_APPLICATION_ID, d::APP_NAS)
-        .build()
-}
-
-fn cer(host: &str) -> Vec<u8> {
-    capabilities(MessageBuilder::request(d::CMD_CAPABILITIES, 0, false, 1, 1), host)
-}
-
 #[test]
 fn a_call_crosses_tls_and_a_new_certificate_serves_new_handshakes_alone() {
     let authority = Authority::new("call");
@@ -174,16 +163,7 @@
             ends.turn().await;
         }
         // A call.
-        let aar = MessageBuilder::request(d::CMD_AA, d::APP_NAS, true, 2, 2)
-            .add_str(d::SESSION_ID, "s;1")
-            .add_u32(d::AUTH_APPLICATION_ID, d::APP_NAS)
-            .add_str(d::ORIGIN_HOST, "client.example")
-            .add_str(d::ORIGIN_REALM, "example")
-            .add_str(d::DESTINATION_REALM, "example")
-            .add_u32(d::AUTH_REQUEST_TYPE, 1)
-            .add_str(d::CALLED_STATION_ID, "35101")
-            .build();
-        ends.send(client, &aar);
+        ends.send(client, &aar("s;1", 2, 9_000));
         let (on, attempt) = ends.message().await;
         assert_eq!(on, server);
         let answer = MessageBuilder::answer(&MessageRef::parse(&attempt).expect("an AAR"), 2001)
@@ -206,11 +186,7 @@
         assert!(node.stats().is_some());
         let last = ends.dial(13, &node, &client_files).await;
         assert!(ends.net.peer_names(last).expect("a certificate").contains(&"second.example".to_owned()));
-        let dwr = MessageBuilder::request(d::CMD_WATCHDOG, 0, false, 5, 5)
-            .add_str(d::ORIGIN_HOST, "client.example")
-            .add_str(d::ORIGIN_REALM, "example")
-            .build();
-        ends.send(client, &dwr);
+        ends.send(client, &dwr("client.example", 5));
         let (on, dwa) = ends.message().await;
         assert_eq!((on, MessageRef::parse(&dwa).expect("a DWA").result_code()), (client, 2001));
         assert_eq!(node.stats().map(|stats| stats.standing), Some(1));
