Judge: a call that came during a stall is reckoned from the stall's beginning

Cause: a node that wakes cannot know when in the gap a request came and goes by the gap's beginning.

A late answer is late all the same, and one stall alone excuses nothing; both have a test.

--- a/crates/lemoncleat-lab/src/report.rs
+++ b/crates/lemoncleat-lab/src/report.rs
@@ -42,6 +42,14 @@
             verdict.excused
         );
     }
+    if verdict.in_doubt > 0 {
+        let _ = writeln!(
+            text,
+            "{} calls that came during a stall and whose deadline, reckoned from its beginning, fell into another \
+             are not counted",
+            verdict.in_doubt
+        );
+    }
     if verdict.behind > 0 {
         let ms = verdict.behind / 1_000;
         let _ = writeln!(text, "the stand-ins' own loop was behind for {ms} ms in all; moments allow for it");
--- a/crates/lemoncleat-lab/tests/judge.rs
+++ b/crates/lemoncleat-lab/tests/judge.rs
@@ -148,6 +148,37 @@
     assert_eq!(stalled.excused, 1);
 }
 
+#[test]
+fn rule_1_a_call_that_came_in_a_stall_is_reckoned_from_its_beginning_and_a_late_answer_is_late_all_the_same()
+{
+    // The call comes at 0 with three seconds; its node stalls from -500 ms on, so that it reckons with 2,500.
+    let first = Record::Stall { at: -500 * MS, node: 0, time: 600 * MS };
+    let second = Record::Stall { at: 2_400 * MS, node: 0, time: 200 * MS };
+    let with = |stalls: &[&Record], answered: Option<i64>| {
+        let mut records = good();
+        match answered {
+            None => drop(records.remove(6)),
+            Some(at) => {
+                records[6] = frame(at, CLIENT, 1, false, answer(&aar("s", 1, false), code::SUCCESS));
+            }
+        }
+        for stall in stalls {
+            records.insert(1, (*stall).clone());
+        }
+        records
+    };
+    let both = verdict(with(&[&first, &second], None));
+    assert!(both.kept());
+    assert_eq!((both.in_doubt, both.excused), (1, 0));
+    assert_eq!(broken(with(&[&first], None)), [(Rule::OneAnswer, 1)], "one stall is no excuse");
+    assert_eq!(broken(with(&[&second], None)), [(Rule::OneAnswer, 1)]);
+    assert_eq!(
+        broken(with(&[&first, &second], Some(3_030))),
+        [(Rule::OneAnswer, 1)],
+        "nor is it one for late"
+    );
+}
+
 #[test]
 fn rule_2_an_attempt_while_one_is_out_or_the_call_stands() {
     let mut records = good();
--- a/crates/lemoncleat-node/src/node/gap.rs
+++ b/crates/lemoncleat-node/src/node/gap.rs
@@ -9,7 +9,7 @@
 use super::*;
 
 /// Set-ups begun in one turn after a gap: as many as keep the clock that they go by fresh.
-const SET_UPS: usize = 32;
+const SET_UPS: usize = 8;
 /// A driver that does not say that it has caught up is taken to have, after this.
 const LONGEST: Micros = 1_000_000;
 
