--- /dev/null
+++ b/crates/lemoncleat-acme/src/errand.rs
@@ -0,0 +1,134 @@
+//! Single errands at an authority: revocation (RFC 8555 section 7.6), the account's new key (section 7.3.5), whether
+//! an account exists (section 7.3.1), renewal information (RFC 9773).
+
+use std::sync::Arc;
+
+use serde_json::{json, Value};
+use time::format_description::well_known::Rfc3339;
+use time::OffsetDateTime;
+
+use crate::jose::{encode, AccountKey};
+use crate::planner::Seconds;
+use crate::session::{Absorbed, Account, AcmeError, HttpRequest, HttpResponse, Session, Step};
+
+/// What is to be done.
+#[derive(Clone, Debug)]
+pub enum ErrandKind {
+    /// Revoke a certificate (DER) for a reason (RFC 5280 section 5.3.1).
+    Revoke(Vec<u8>, u32),
+    /// Put another key in place of the account's.
+    RollOver(Arc<AccountKey>),
+    /// Find the account of the key, without making one.
+    Find,
+    /// Ask when the certificate of this identifier (RFC 9773 section 4.1) should be renewed.
+    RenewalInfo(String),
+}
+
+/// What came of it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ErrandResult {
+    /// It is done; the account's URL.
+    Done(String),
+    /// The suggested window in seconds since 1970, and after how many seconds to ask again. Without a window the
+    /// authority gives no such information.
+    Window(Option<(Seconds, Seconds)>, Option<Seconds>),
+}
+
+/// What is to be done next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ErrandStep {
+    /// Send this and tell the answer.
+    Send(HttpRequest),
+    /// That was it.
+    Done(ErrandResult),
+}
+
+/// An errand on its way.
+#[derive(Debug)]
+pub struct Errand {
+    session: Session,
+    kind: ErrandKind,
+}
+
+impl Errand {
+    /// An errand for an account.
+    pub fn new(account: Account, kind: ErrandKind) -> Errand {
+        let mut session = Session::new(account);
+        session.only_existing = true;
+        Errand { session, kind }
+    }
+
+    fn step(&self) -> Step {
+        match self.kind {
+            ErrandKind::Revoke(..) => Step::Revocation,
+            ErrandKind::RollOver(_) => Step::RollOver,
+            ErrandKind::Find => Step::Account,
+            ErrandKind::RenewalInfo(_) => Step::RenewalInfo,
+        }
+    }
+
+    fn done(&self) -> ErrandStep {
+        ErrandStep::Done(ErrandResult::Done(self.session.account.url.clone().unwrap_or_default()))
+    }
+
+    /// The next thing to do.
+    ///
+    /// # Errors
+    ///
+    /// When the authority does not offer what is needed.
+    pub fn go_on(&mut self) -> Result<ErrandStep, AcmeError> {
+        let signed = !matches!(self.kind, ErrandKind::RenewalInfo(_));
+        if let Some(request) = self.session.before(signed)? {
+            return Ok(ErrandStep::Send(request));
+        }
+        let request = match &self.kind {
+            ErrandKind::Revoke(certificate, reason) => {
+                let payload = json!({"certificate": encode(certificate), "reason": reason});
+                let url = self.session.url("revokeCert")?;
+                self.session.post(url, Some(&payload))?
+            }
+            ErrandKind::RollOver(new) => {
+                let url = self.session.url("keyChange")?;
+                let account = self.session.account.url.clone().unwrap_or_default();
+                let inner = new.roll_over(&self.session.account.key, &account, &url);
+                let inner = inner.map_err(|error| self.session.error(Step::RollOver, error))?;
+                self.session.post(url, Some(&inner))?
+            }
+            ErrandKind::Find => return Ok(self.done()),
+            ErrandKind::RenewalInfo(id) => {
+                let Ok(url) = self.session.url("renewalInfo") else {
+                    return Ok(ErrandStep::Done(ErrandResult::Window(None, None)));
+                };
+                let url = format!("{}/{id}", url.trim_end_matches('/'));
+                self.session.get(url)
+            }
+        };
+        Ok(ErrandStep::Send(request))
+    }
+
+    /// The authority answered the last request.
+    ///
+    /// # Errors
+    ///
+    /// When it refused.
+    pub fn answered(&mut self, response: &HttpResponse) -> Result<ErrandStep, AcmeError> {
+        match self.session.absorb(response, self.step()) {
+            Ok(Absorbed::Session) => return self.go_on(),
+            Ok(Absorbed::Yours) => {}
+            // Revoked before, as by a try whose answer was lost.
+            Err(error) if error.is("alreadyRevoked") => return Ok(self.done()),
+            Err(error) => return Err(error),
+        }
+        if !matches!(self.kind, ErrandKind::RenewalInfo(_)) {
+            return Ok(self.done());
+        }
+        let body: Value = serde_json::from_slice(&response.body).unwrap_or(Value::Null);
+        let moment = |name: &str| {
+            let text = body["suggestedWindow"][name].as_str()?;
+            OffsetDateTime::parse(text, &Rfc3339).ok().map(OffsetDateTime::unix_timestamp)
+        };
+        // Section 4.2: a window whose end does not lie after its start is to be treated as none.
+        let window = moment("start").zip(moment("end")).filter(|(start, end)| start < end);
+        Ok(ErrandStep::Done(ErrandResult::Window(window, response.retry_after)))
+    }
+}
--- a/crates/lemoncleat-acme/src/jose.rs
+++ b/crates/lemoncleat-acme/src/jose.rs
@@ -8,6 +8,7 @@
 use ring::signature::{EcdsaKeyPair, Ed25519KeyPair, KeyPair, ECDSA_P256_SHA256_FIXED_SIGNING};
 use ring::{digest, hmac};
 use serde_json::{json, Value};
+use zeroize::Zeroizing;
 
 pub(crate) fn encode(bytes: &[u8]) -> String {
     URL_SAFE_NO_PAD.encode(bytes)
@@ -51,13 +52,13 @@
     /// # Errors
     ///
     /// When the system has no randomness.
-    pub fn generate(kind: KeyKind) -> Result<Vec<u8>, String> {
+    pub fn generate(kind: KeyKind) -> Result<Zeroizing<Vec<u8>>, String> {
         let random = SystemRandom::new();
         let bytes = match kind {
             KeyKind::Es256 => EcdsaKeyPair::generate_pkcs8(&ECDSA_P256_SHA256_FIXED_SIGNING, &random),
             KeyKind::EdDsa => Ed25519KeyPair::generate_pkcs8(&random),
         };
-        bytes.map(|document| document.as_ref().to_vec()).map_err(refused)
+        bytes.map(|document| Zeroizing::new(document.as_ref().to_vec())).map_err(refused)
     }
 
     /// Takes a key's PKCS #8 bytes.
@@ -77,6 +78,16 @@
         Ok(AccountKey { pair, random })
     }
 
+    /// Takes a key's PKCS #8 bytes of whichever kind they are.
+    ///
+    /// # Errors
+    ///
+    /// When they are a key of no kind.
+    pub fn read(bytes: &[u8]) -> Result<AccountKey, String> {
+        AccountKey::from_pkcs8(KeyKind::Es256, bytes)
+            .or_else(|_| AccountKey::from_pkcs8(KeyKind::EdDsa, bytes))
+    }
+
     /// Its public half.
     pub fn jwk(&self) -> Value {
         match &self.pair {
