--- a/crates/lemoncleat-acme/src/jose.rs
+++ b/crates/lemoncleat-acme/src/jose.rs
@@ -14,6 +14,11 @@
     URL_SAFE_NO_PAD.encode(bytes)
 }
 
+/// The bytes of a text in base64url, with or without padding; `None` if it is none.
+pub fn base64url(text: &str) -> Option<Vec<u8>> {
+    URL_SAFE_NO_PAD.decode(text.trim_end_matches('=')).ok()
+}
+
 /// The kind of an account's key.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum KeyKind {
--- a/crates/lemoncleat-acme/src/lib.rs
+++ b/crates/lemoncleat-acme/src/lib.rs
@@ -19,7 +19,7 @@
 
 pub use certificate::{choose, Chain};
 pub use errand::{Errand, ErrandKind, ErrandResult, ErrandStep};
-pub use jose::{AccountKey, KeyKind, Signer};
+pub use jose::{base64url, AccountKey, KeyKind, Signer};
 pub use order::{ChallengeKind, Order, Progress, Proof, Stored};
 pub use renewer::{
     Held, Prepared, Renewer, RenewerInput, RenewerNotice, RenewerOutput, RenewerSettings, Snapshot, Tried,
--- a/crates/lemoncleat-authority/src/lib.rs
+++ b/crates/lemoncleat-authority/src/lib.rs
@@ -1,13 +1,15 @@
 //! A stand-in ACME authority (RFC 8555): for tests and rehearsals, never for use.
 //!
-//! It has no I/O and no clock: [`Authority::handle`] answers a request at a moment, and what it wants to be looked at
+//! [`Authority`] has no I/O and no clock; [`Host`] puts one on loopback sockets. [`Authority::handle`] answers a request at a moment, and what it wants to be looked at
 //! for validation is handed out by [`Authority::to_validate`]. It is strict: every signature, nonce and URL is
 //! checked, and what a client does wrong is kept in [`Authority::complaints`]. [`Faults`] say how it fails.
 
 mod authority;
 mod faults;
+mod host;
 mod issuer;
 mod jws;
 
 pub use authority::{Authority, AuthoritySettings, Issued, ToValidate};
 pub use faults::{Faults, Stage, Wrong};
+pub use host::{Found, Host};
--- /dev/null
+++ b/crates/lemoncleat-certificates/src/fetch.rs
@@ -0,0 +1,134 @@
+//! HTTP requests to the authority.
+
+use std::io;
+use std::net::{IpAddr, SocketAddr, TcpStream, ToSocketAddrs};
+use std::path::Path;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use async_io::{Async, Timer};
+use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, FutureExt};
+use futures_rustls::rustls::crypto::ring;
+use futures_rustls::rustls::pki_types::ServerName;
+use futures_rustls::rustls::ClientConfig;
+use futures_rustls::TlsConnector;
+use lemoncleat_acme::{HttpRequest, HttpResponse, Place};
+use lemoncleat_http::{Limits, Message, Reader, Side};
+use lemoncleat_net::Authorities;
+
+/// Makes requests, one connection each.
+#[derive(Clone)]
+pub struct Fetcher {
+    tls: Option<TlsConnector>,
+    time: Duration,
+}
+
+impl Fetcher {
+    /// With the authorities that vouch for the ACME authority's own certificate, and how long one request may take.
+    /// Without such authorities only plain HTTP to loopback addresses is done.
+    ///
+    /// # Errors
+    ///
+    /// When the file of authorities is of no use.
+    pub fn new(roots: Option<&Path>, time: Duration) -> Result<Fetcher, String> {
+        let tls = match roots {
+            None => None,
+            Some(file) => {
+                let authorities = Authorities::read(file).map_err(|error| error.to_string())?;
+                let config = ClientConfig::builder_with_provider(Arc::new(ring::default_provider()))
+                    .with_safe_default_protocol_versions()
+                    .map_err(|error| error.to_string())?
+                    .with_root_certificates(authorities.store())
+                    .with_no_client_auth();
+                Some(TlsConnector::from(Arc::new(config)))
+            }
+        };
+        Ok(Fetcher { tls, time })
+    }
+
+    /// Makes a request.
+    ///
+    /// # Errors
+    ///
+    /// Why there is no answer, in one line.
+    pub async fn fetch(&self, request: &HttpRequest) -> Result<HttpResponse, String> {
+        let place = Place::read(&request.url)?;
+        let late = async {
+            Timer::after(self.time).await;
+            Err(format!("no answer within {} s", self.time.as_secs_f64()))
+        };
+        let answer = self.exchange(request, &place).or(late).await;
+        let message = answer.map_err(|why| format!("{}: {why}", place.authority()))?;
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_secs() as i64);
+        Ok(HttpResponse::read(&message, now))
+    }
+
+    async fn exchange(&self, request: &HttpRequest, place: &Place) -> Result<Message, String> {
+        let told = |error: io::Error| error.to_string();
+        let mut addresses = resolve(place).map_err(told)?;
+        if !place.secure {
+            // RFC 8555 section 6.1 wants HTTPS; between processes of one machine there is nobody to listen.
+            addresses.retain(|address| address.ip().is_loopback());
+            if addresses.is_empty() {
+                return Err("plain HTTP is done to loopback addresses alone, expected https".to_owned());
+            }
+        }
+        let mut failure = "the name has no address".to_owned();
+        for address in addresses {
+            match Async::<TcpStream>::connect(address).await {
+                Ok(stream) if place.secure => {
+                    let Some(tls) = &self.tls else {
+                        return Err(
+                            "no authorities are set that could vouch for it (authority-roots)".to_owned()
+                        );
+                    };
+                    let host = place.host.trim_matches(['[', ']']).to_owned();
+                    let name = ServerName::try_from(host).map_err(|error| error.to_string())?;
+                    let stream = tls.connect(name, stream).await.map_err(told)?;
+                    return converse(stream, request, place).await;
+                }
+                Ok(stream) => return converse(stream, request, place).await,
+                Err(error) => failure = error.to_string(),
+            }
+        }
+        Err(failure)
+    }
+}
+
+/// Addresses of a place. Looked up on this thread, which does nothing else.
+fn resolve(place: &Place) -> io::Result<Vec<SocketAddr>> {
+    let host = place.host.trim_matches(['[', ']']);
+    if let Ok(ip) = host.parse::<IpAddr>() {
+        return Ok(vec![SocketAddr::new(ip, place.port)]);
+    }
+    Ok((host, place.port).to_socket_addrs()?.collect())
+}
+
+async fn converse(
+    mut stream: impl AsyncRead + AsyncWrite + Unpin,
+    request: &HttpRequest,
+    place: &Place,
+) -> Result<Message, String> {
+    let told = |error: io::Error| error.to_string();
+    let bytes = request.message(place).with("Connection", "close").to_bytes();
+    stream.write_all(&bytes).await.map_err(told)?;
+    stream.flush().await.map_err(told)?;
+    let side = Side::Client { head: request.method == "HEAD" };
+    let mut reader = Reader::new(side, Limits::default());
+    let mut buffer = vec![0; 16 * 1024];
+    loop {
+        if let Some(message) = reader.next_message().map_err(|error| error.to_string())? {
+            return Ok(message);
+        }
+        // An end without a close_notify counts as one: lengths tell whether all has come.
+        let count = match stream.read(&mut buffer).await {
+            Err(error) if error.kind() == io::ErrorKind::UnexpectedEof => 0,
+            count => count.map_err(told)?,
+        };
+        if count == 0 {
+            let whole = reader.end().map_err(|error| error.to_string())?;
+            return whole.ok_or_else(|| "the connection ended without an answer".to_owned());
+        }
+        reader.push(&buffer[..count]);
+    }
+}
--- /dev/null
+++ b/crates/lemoncleat-certificates/src/storage.rs
@@ -0,0 +1,441 @@
+//! The directory in which keys, certificates and the state of an order are kept.
+//!
+//! A file is written under another name, synced and renamed, and its directory synced after it: whatever happens, a
+//! name leads to the whole old file or the whole new one. Key and chain of a certificate are one file, so that they
+//! can't fall apart. All files are for their owner alone (mode 0600).
+//!
+//! | file | what |
+//! | --- | --- |
+//! | `account.key`, `account.json` | the account's key (PKCS #8, PEM), its URL and authority |
+//! | `account.next.key` | a new key whose roll-over is under way |
+//! | `order.key`, `order.json` | the key that is being certified, and how its order stands |
+//! | `certificate-UNTIL-N.pem` | key and chain |
+//! | `tried.json` | what came of the latest tries |
+//! | `lock` | held by the process that orders |
+
+use std::fmt;
+use std::fs::{self, File, OpenOptions, TryLockError};
+use std::io::{self, Write};
+use std::os::unix::fs::{DirBuilderExt, OpenOptionsExt};
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use lemoncleat_acme::planner::Seconds;
+use lemoncleat_acme::{AccountKey, Chain, Held, KeyKind, Prepared, Snapshot, Stored, Tried};
+use rcgen::{CertificateParams, KeyPair, PublicKeyData};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use zeroize::Zeroizing;
+
+const ACCOUNT_KEY: &str = "account.key";
+const NEXT_KEY: &str = "account.next.key";
+const ACCOUNT: &str = "account.json";
+const ORDER_KEY: &str = "order.key";
+const ORDER: &str = "order.json";
+const TRIED: &str = "tried.json";
+const LOCK: &str = "lock";
+/// Longest file that is read.
+const LONGEST: u64 = 1 << 20;
+
+/// What went wrong with a file: which, and what.
+#[derive(Debug)]
+pub struct StorageError(String);
+
+impl fmt::Display for StorageError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for StorageError {}
+
+fn at(path: &Path, why: impl fmt::Display) -> StorageError {
+    StorageError(format!("{}: {why}", path.display()))
+}
+
+/// What an account is known by.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+struct AccountFile {
+    directory: String,
+    url: Option<String>,
+}
+
+/// Storage as it was found, with complaints about files that are of no use; they are left where they are.
+#[derive(Debug, Default)]
+pub struct Stocked {
+    /// What is of use.
+    pub snapshot: Snapshot,
+    /// What is not, a line each.
+    pub complaints: Vec<String>,
+}
+
+/// Held as long as it lives; the kernel gives it back when the process ends, however that is.
+#[derive(Debug)]
+pub struct Lock(#[allow(dead_code)] File);
+
+/// The directory.
+#[derive(Clone, Debug)]
+pub struct Storage {
+    dir: PathBuf,
+    names: Vec<String>,
+}
+
+static NEXT: AtomicU64 = AtomicU64::new(0);
+
+impl Storage {
+    /// Opens the directory for certificates of these names, and makes it if it is not there.
+    ///
+    /// # Errors
+    ///
+    /// When it can't be made.
+    pub fn open(dir: &Path, names: &[String]) -> Result<Storage, StorageError> {
+        fs::DirBuilder::new().recursive(true).mode(0o700).create(dir).map_err(|error| at(dir, error))?;
+        Ok(Storage { dir: dir.to_owned(), names: names.to_vec() })
+    }
+
+    fn path(&self, name: &str) -> PathBuf {
+        self.dir.join(name)
+    }
+
+    fn sync(&self) -> io::Result<()> {
+        File::open(&self.dir)?.sync_all()
+    }
+
+    /// A file that is not seen under its name before it is whole.
+    fn draft(&self, name: &str, bytes: &[u8]) -> io::Result<PathBuf> {
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let draft = self.path(&format!("{name}.{}.{number}.tmp", std::process::id()));
+        let mut file = OpenOptions::new().write(true).create(true).truncate(true).mode(0o600).open(&draft)?;
+        file.write_all(bytes)?;
+        file.sync_all()?;
+        Ok(draft)
+    }
+
+    fn put(&self, name: &str, bytes: &[u8]) -> Result<(), StorageError> {
+        let put = || {
+            let draft = self.draft(name, bytes)?;
+            fs::rename(&draft, self.path(name))?;
+            self.sync()
+        };
+        put().map_err(|error| at(&self.path(name), error))
+    }
+
+    /// The same, unless the name is taken; whether it was put.
+    fn put_first(&self, name: &str, bytes: &[u8]) -> Result<bool, StorageError> {
+        let put = || {
+            let draft = self.draft(name, bytes)?;
+            let linked = fs::hard_link(&draft, self.path(name));
+            fs::remove_file(&draft)?;
+            match linked {
+                Err(error) if error.kind() == io::ErrorKind::AlreadyExists => return Ok(false),
+                linked => linked?,
+            }
+            self.sync()?;
+            Ok(true)
+        };
+        put().map_err(|error: io::Error| at(&self.path(name), error))
+    }
+
+    fn remove(&self, name: &str) -> Result<(), StorageError> {
+        match fs::remove_file(self.path(name)) {
+            Err(error) if error.kind() != io::ErrorKind::NotFound => Err(at(&self.path(name), error)),
+            _ => self.sync().map_err(|error| at(&self.dir, error)),
+        }
+    }
+
+    fn get(&self, name: &str) -> Result<Option<Zeroizing<String>>, StorageError> {
+        let path = self.path(name);
+        match fs::metadata(&path) {
+            Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(None),
+            Err(error) => return Err(at(&path, error)),
+            Ok(known) if known.len() > LONGEST => return Err(at(&path, "longer than such a file may be")),
+            Ok(_) => {}
+        }
+        fs::read_to_string(&path).map(|text| Some(Zeroizing::new(text))).map_err(|error| at(&path, error))
+    }
+
+    /// A file of state; one that makes no sense is complained of and counts as none.
+    fn state<T: DeserializeOwned + Default>(&self, name: &str, complaints: &mut Vec<String>) -> T {
+        let text = match self.get(name) {
+            Ok(Some(text)) => text,
+            Ok(None) => return T::default(),
+            Err(error) => {
+                complaints.push(error.to_string());
+                return T::default();
+            }
+        };
+        serde_json::from_str(&text).unwrap_or_else(|error| {
+            complaints.push(format!("{}: {error}; passed over", self.path(name).display()));
+            T::default()
+        })
+    }
+
+    fn put_state(&self, name: &str, state: &impl Serialize) -> Result<(), StorageError> {
+        let text = serde_json::to_string_pretty(state).map_err(|error| at(&self.path(name), error))?;
+        self.put(name, text.as_bytes())
+    }
+
+    // ---- The account ----
+
+    fn key_of(&self, name: &str) -> Result<Option<AccountKey>, StorageError> {
+        let Some(text) = self.get(name)? else { return Ok(None) };
+        let wrong =
+            |why: String| at(&self.path(name), format!("{why}; put a good copy back or remove the file"));
+        let der = pem_key(&text).map_err(wrong)?;
+        AccountKey::read(&der).map(Some).map_err(wrong)
+    }
+
+    /// The account's key; a new one where there is none.
+    ///
+    /// # Errors
+    ///
+    /// When its file is damaged or can't be written.
+    pub fn account_key(&self, kind: KeyKind) -> Result<AccountKey, StorageError> {
+        if let Some(key) = self.key_of(ACCOUNT_KEY)? {
+            return Ok(key);
+        }
+        let der = AccountKey::generate(kind).map_err(|why| at(&self.path(ACCOUNT_KEY), why))?;
+        // Of several that start at once, one makes the key and all use it.
+        self.put_first(ACCOUNT_KEY, key_pem(&der).as_bytes())?;
+        self.key_of(ACCOUNT_KEY)?.ok_or_else(|| at(&self.path(ACCOUNT_KEY), "it is gone again"))
+    }
+
+    /// The account's URL, if it is one of this authority's.
+    pub fn account_url(&self, directory: &str) -> Option<String> {
+        let file: AccountFile = self.state(ACCOUNT, &mut Vec::new());
+        file.url.filter(|_| file.directory == directory)
+    }
+
+    /// Keeps the account's URL.
+    ///
+    /// # Errors
+    ///
+    /// When it can't be written.
+    pub fn put_account_url(&self, directory: &str, url: &str) -> Result<(), StorageError> {
+        let file = AccountFile { directory: directory.to_owned(), url: Some(url.to_owned()) };
+        self.put_state(ACCOUNT, &file)
+    }
+
+    /// The key of a roll-over that was begun and not ended.
+    ///
+    /// # Errors
+    ///
+    /// When its file is damaged.
+    pub fn next_key(&self) -> Result<Option<AccountKey>, StorageError> {
+        self.key_of(NEXT_KEY)
+    }
+
+    /// Makes the key of a roll-over; it is on disk before the authority hears of it.
+    ///
+    /// # Errors
+    ///
+    /// When it can't be written.
+    pub fn make_next_key(&self, kind: KeyKind) -> Result<AccountKey, StorageError> {
+        let der = AccountKey::generate(kind).map_err(|why| at(&self.path(NEXT_KEY), why))?;
+        self.put(NEXT_KEY, key_pem(&der).as_bytes())?;
+        self.key_of(NEXT_KEY)?.ok_or_else(|| at(&self.path(NEXT_KEY), "it is gone again"))
+    }
+
+    /// The roll-over is done (the next key is the account's), or it was refused (the next key is dropped).
+    ///
+    /// # Errors
+    ///
+    /// When the files can't be changed.
+    pub fn end_roll_over(&self, done: bool) -> Result<(), StorageError> {
+        if !done {
+            return self.remove(NEXT_KEY);
+        }
+        fs::rename(self.path(NEXT_KEY), self.path(ACCOUNT_KEY))
+            .and_then(|()| self.sync())
+            .map_err(|error| at(&self.path(ACCOUNT_KEY), error))
+    }
+
+    // ---- Orders and certificates ----
+
+    /// Takes the lock; `None` while another process holds it. Drafts that a killed process left are removed.
+    ///
+    /// # Errors
+    ///
+    /// When the file can't be opened.
+    pub fn lock(&self) -> Result<Option<Lock>, StorageError> {
+        let path = self.path(LOCK);
+        let file = OpenOptions::new().write(true).create(true).truncate(false).mode(0o600).open(&path);
+        let file = file.map_err(|error| at(&path, error))?;
+        match file.try_lock() {
+            Ok(()) => {}
+            Err(TryLockError::WouldBlock) => return Ok(None),
+            Err(TryLockError::Error(error)) => return Err(at(&path, error)),
+        }
+        let own = format!(".{}.", std::process::id());
+        for name in self.files()? {
+            if name.ends_with(".tmp") && !name.contains(&own) {
+                let _ = fs::remove_file(self.path(&name));
+            }
+        }
+        Ok(Some(Lock(file)))
+    }
+
+    fn files(&self) -> Result<Vec<String>, StorageError> {
+        let mut names = Vec::new();
+        for entry in fs::read_dir(&self.dir).map_err(|error| at(&self.dir, error))? {
+            let entry = entry.map_err(|error| at(&self.dir, error))?;
+            names.extend(entry.file_name().into_string());
+        }
+        names.sort();
+        Ok(names)
+    }
+
+    /// Looks at all that is there.
+    ///
+    /// # Errors
+    ///
+    /// When the directory can't be read.
+    pub fn stock(&self) -> Result<Stocked, StorageError> {
+        let mut complaints = Vec::new();
+        let mut certificates = Vec::new();
+        for name in self.files()? {
+            let Some(id) = name.strip_prefix("certificate-").and_then(|rest| rest.strip_suffix(".pem"))
+            else {
+                continue;
+            };
+            match self.certificate(id) {
+                Ok(Some(chain)) => certificates.push(Held { id: id.to_owned(), chain }),
+                Ok(None) => {}
+                Err(error) => complaints.push(format!("{error}; passed over")),
+            }
+        }
+        let tried: Tried = self.state(TRIED, &mut complaints);
+        let order: Option<Stored> = self.state(ORDER, &mut complaints);
+        // An order without its key would end in a certificate that nobody can use.
+        let order = order.filter(|_| match self.order_key() {
+            Ok(key) => key.is_some(),
+            Err(error) => {
+                complaints.push(format!("{error}; a new order is placed"));
+                false
+            }
+        });
+        Ok(Stocked { snapshot: Snapshot { certificates, tried, order }, complaints })
+    }
+
+    /// What a stored certificate says; `None` if it is for other names than these.
+    fn certificate(&self, id: &str) -> Result<Option<Chain>, StorageError> {
+        let path = self.path(&format!("certificate-{id}.pem"));
+        let text = self.certificate_text(id)?;
+        let chain = Chain::read(&text).map_err(|why| at(&path, why))?;
+        if self.names.iter().any(|name| !chain.names.contains(&name.to_ascii_lowercase())) {
+            return Ok(None);
+        }
+        let key = KeyPair::from_pem(&text).map_err(|error| at(&path, format!("no key: {error}")))?;
+        match key.subject_public_key_info() == chain.public_key {
+            true => Ok(Some(chain)),
+            false => Err(at(&path, "key and certificate do not belong together")),
+        }
+    }
+
+    /// A stored certificate: key and chain, PEM.
+    ///
+    /// # Errors
+    ///
+    /// When it is not there.
+    pub fn certificate_text(&self, id: &str) -> Result<Zeroizing<String>, StorageError> {
+        let name = format!("certificate-{id}.pem");
+        self.get(&name)?.ok_or_else(|| at(&self.path(&name), "it is gone"))
+    }
+
+    fn order_key(&self) -> Result<Option<KeyPair>, StorageError> {
+        let Some(text) = self.get(ORDER_KEY)? else { return Ok(None) };
+        KeyPair::from_pem(&text)
+            .map(Some)
+            .map_err(|error| at(&self.path(ORDER_KEY), format!("no key: {error}")))
+    }
+
+    /// The key of the order under way or a fresh one, with the request for its certificate.
+    ///
+    /// # Errors
+    ///
+    /// When the key is damaged or can't be written.
+    pub fn prepare(&self, fresh: bool) -> Result<Prepared, StorageError> {
+        let path = self.path(ORDER_KEY);
+        let wrong = |error: rcgen::Error| at(&path, error);
+        if fresh {
+            // The old order goes first: it must never be found beside a key that is not its own.
+            self.remove(ORDER)?;
+            let key = KeyPair::generate().map_err(wrong)?;
+            self.put(ORDER_KEY, Zeroizing::new(key.serialize_pem()).as_bytes())?;
+        }
+        let key = self.order_key()?.ok_or_else(|| at(&path, "it is gone"))?;
+        let params = CertificateParams::new(self.names.clone()).map_err(wrong)?;
+        let csr = params.serialize_request(&key).map_err(wrong)?;
+        Ok(Prepared { csr: csr.der().to_vec(), public_key: key.subject_public_key_info() })
+    }
+
+    /// Keeps how the order stands.
+    ///
+    /// # Errors
+    ///
+    /// When it can't be written.
+    pub fn put_order(&self, order: &Stored) -> Result<(), StorageError> {
+        self.put_state(ORDER, order)
+    }
+
+    /// Forgets the order and its key.
+    ///
+    /// # Errors
+    ///
+    /// When they can't be removed.
+    pub fn drop_order(&self) -> Result<(), StorageError> {
+        self.remove(ORDER)?;
+        self.remove(ORDER_KEY)
+    }
+
+    /// Keeps what came of the latest tries.
+    ///
+    /// # Errors
+    ///
+    /// When it can't be written.
+    pub fn put_tried(&self, tried: &Tried) -> Result<(), StorageError> {
+        self.put_state(TRIED, tried)
+    }
+
+    /// Keeps a chain with the order's key, and forgets the order.
+    ///
+    /// # Errors
+    ///
+    /// When it can't be written or does not fit the key.
+    pub fn put_certificate(&self, pem: &str) -> Result<Held, StorageError> {
+        let key = self.get(ORDER_KEY)?.ok_or_else(|| at(&self.path(ORDER_KEY), "it is gone"))?;
+        let chain = Chain::read(pem).map_err(|why| at(&self.dir, why))?;
+        let until: Seconds = chain.validity.until;
+        let mut number = 0;
+        let text = Zeroizing::new(format!("{}{}", key.as_str(), pem));
+        let id = loop {
+            let id = format!("{until}-{number}");
+            if self.put_first(&format!("certificate-{id}.pem"), text.as_bytes())? {
+                break id;
+            }
+            number += 1;
+        };
+        self.drop_order()?;
+        Ok(Held { id, chain })
+    }
+
+    /// Forgets a certificate.
+    ///
+    /// # Errors
+    ///
+    /// When it can't be removed.
+    pub fn drop_certificate(&self, id: &str) -> Result<(), StorageError> {
+        self.remove(&format!("certificate-{id}.pem"))
+    }
+}
+
+fn key_pem(der: &[u8]) -> Zeroizing<String> {
+    Zeroizing::new(pem::encode(&pem::Pem::new("PRIVATE KEY", der)))
+}
+
+/// The bytes of the first private key in a text.
+fn pem_key(text: &str) -> Result<Zeroizing<Vec<u8>>, String> {
+    let blocks = pem::parse_many(text).map_err(|error| format!("no PEM: {error}"))?;
+    let key = blocks.into_iter().find(|block| block.tag() == "PRIVATE KEY");
+    key.map(|block| Zeroizing::new(block.into_contents())).ok_or_else(|| "no private key in PEM".to_owned())
+}
--- a/crates/lemoncleat-cli/src/args.rs
+++ b/crates/lemoncleat-cli/src/args.rs
@@ -33,6 +33,8 @@
     Load(LoadArgs),
     /// Show and mind the circuits of a running node, over its control port.
     Circuits(CircuitsArgs),
+    /// Show and mind the certificates that a node gets by ACME.
+    Cert(CertArgs),
     /// The laboratory: stand-ins to try clients against, and measurements.
     Lab(LabArgs),
 }
@@ -181,6 +183,57 @@
     pub hardware: bool,
 }
 
+#[derive(ClapArgs)]
+pub struct CertArgs {
+    /// The node's settings file, with (tls ... (acme ...)).
+    #[arg(long, value_name = "FILE")]
+    pub config: PathBuf,
+    #[command(subcommand)]
+    pub command: Option<CertCommand>,
+}
+
+#[derive(Subcommand)]
+pub enum CertCommand {
+    /// What is stored, and how the latest tries went (the default).
+    Show {
+        /// Print it as JSON.
+        #[arg(long)]
+        json: bool,
+    },
+    /// Order a certificate now, where no node runs that would.
+    ///
+    /// It serves http-01 by itself; tls-alpn-01 is answered by a running node alone.
+    Request,
+    /// Have a running node order a new certificate now, over its control port.
+    Renew {
+        /// The node's control port, as it said at its start; by default that of the settings.
+        #[arg(long, value_name = "ADDRESS")]
+        control: Option<SocketAddr>,
+    },
+    /// Revoke a stored certificate and forget it. A running node shows another, or orders one.
+    Revoke {
+        /// Its name, as `show` tells it.
+        id: String,
+        /// The reason (RFC 5280 section 5.3.1): 0 unspecified, 1 key compromise, 4 superseded, 5 cessation.
+        #[arg(long, default_value_t = 0, value_parser = clap::value_parser!(u32).range(0..=10))]
+        reason: u32,
+    },
+    /// Put a new key in place of the account's.
+    RollKey {
+        /// The new key's kind.
+        #[arg(long, value_enum, default_value_t = KeyArg::Es256)]
+        kind: KeyArg,
+    },
+}
+
+#[derive(Clone, Copy, clap::ValueEnum)]
+pub enum KeyArg {
+    /// ECDSA on P-256.
+    Es256,
+    /// Ed25519.
+    Eddsa,
+}
+
 #[derive(ClapArgs)]
 pub struct LabArgs {
     #[command(subcommand)]
--- /dev/null
+++ b/crates/lemoncleat-cli/src/cert.rs
@@ -0,0 +1,159 @@
+//! `lemoncleat cert`.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::mpsc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use lemoncleat_certificates::{
+    revoke, roll_key, status, ChallengeKind, Keeper, KeeperEvent, KeeperSettings, KeyKind, RenewerNotice,
+    Status,
+};
+use lemoncleat_service::{Config, TlsSource};
+use serde_json::json;
+
+use crate::args::{CertArgs, CertCommand, KeyArg};
+use crate::control::ask;
+use crate::node::read;
+use crate::Failure;
+
+pub fn run(args: &CertArgs) -> Result<(), Failure> {
+    let config = read(&args.config)?;
+    match &args.command {
+        None => show(&settings(&config, &args.config)?, false),
+        Some(CertCommand::Show { json }) => show(&settings(&config, &args.config)?, *json),
+        Some(CertCommand::Request) => request(settings(&config, &args.config)?),
+        Some(CertCommand::Renew { control }) => renew(control.or(config.service.control)),
+        Some(CertCommand::Revoke { id, reason }) => {
+            revoke(&settings(&config, &args.config)?, id, *reason).map_err(Failure::Failed)?;
+            println!("{id} is revoked");
+            Ok(())
+        }
+        Some(CertCommand::RollKey { kind }) => {
+            let kind = match kind {
+                KeyArg::Es256 => KeyKind::Es256,
+                KeyArg::Eddsa => KeyKind::EdDsa,
+            };
+            let told = roll_key(&settings(&config, &args.config)?, kind).map_err(Failure::Failed)?;
+            println!("{told}");
+            Ok(())
+        }
+    }
+}
+
+fn settings(config: &Config, file: &Path) -> Result<KeeperSettings, Failure> {
+    match config.service.tls.as_ref().map(|tls| &tls.source) {
+        Some(TlsSource::Acme(settings)) => Ok((**settings).clone()),
+        _ => Err(Failure::Usage(format!("{}: tls.acme: missing, expected an authority", file.display()))),
+    }
+}
+
+fn now() -> i64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_secs() as i64)
+}
+
+fn date(at: i64) -> String {
+    // The end of the year 9999 is the last that can be told.
+    httpdate::fmt_http_date(UNIX_EPOCH + Duration::from_secs(at.clamp(0, 253_402_300_799) as u64))
+}
+
+fn state(from: i64, until: i64, now: i64) -> &'static str {
+    match (now < from, now < until) {
+        (true, _) => "not yet",
+        (false, true) => "valid",
+        (false, false) => "over",
+    }
+}
+
+fn show(settings: &KeeperSettings, as_json: bool) -> Result<(), Failure> {
+    let Status { certificates, tried, order, account, complaints } =
+        status(settings).map_err(Failure::Failed)?;
+    let now = now();
+    if as_json {
+        let certificates: Vec<_> = certificates
+            .iter()
+            .map(|held| {
+                let validity = held.chain.validity;
+                json!({
+                    "id": held.id, "from": validity.from, "until": validity.until, "names": held.chain.names,
+                    "state": state(validity.from, validity.until, now), "top": held.chain.top,
+                })
+            })
+            .collect();
+        println!(
+            "{}",
+            json!({
+                "certificates": certificates, "account": account, "order": order, "tried": tried,
+                "complaints": complaints,
+            })
+        );
+        return Ok(());
+    }
+    println!("{:<24} {:<8} {:<30} names", "certificate", "state", "until");
+    for held in &certificates {
+        let validity = held.chain.validity;
+        println!(
+            "{:<24} {:<8} {:<30} {}",
+            held.id,
+            state(validity.from, validity.until, now),
+            date(validity.until),
+            held.chain.names.join(" ")
+        );
+    }
+    println!("account: {}", account.as_deref().unwrap_or("none yet"));
+    if let Some(url) = order.and_then(|order| order.order) {
+        println!("an order is under way: {url}");
+    }
+    if tried.failures > 0 {
+        println!(
+            "{} failures in a row, the last on {}: {}",
+            tried.failures,
+            date(tried.failed_at),
+            tried.error
+        );
+    }
+    for complaint in complaints {
+        println!("{complaint}");
+    }
+    Ok(())
+}
+
+/// Runs a keeper until it has a new certificate or has failed.
+fn request(settings: KeeperSettings) -> Result<(), Failure> {
+    if settings.challenge != ChallengeKind::Http01 {
+        let why = "tls-alpn-01 is answered by a running node alone: start it, or use `cert renew`";
+        return Err(Failure::Usage(why.to_owned()));
+    }
+    let limit = settings.try_time + Duration::from_secs(30);
+    let (sender, events) = mpsc::channel();
+    let keeper = Keeper::start(settings, move |event| drop(sender.send(event))).map_err(Failure::Failed)?;
+    keeper.renew_now();
+    loop {
+        match events.recv_timeout(limit) {
+            Ok(KeeperEvent::Notice(RenewerNotice::Renewed(until))) => {
+                println!("new certificate, valid until {}", date(until));
+                return Ok(());
+            }
+            Ok(KeeperEvent::Notice(RenewerNotice::TryFailed { error, .. })) => {
+                return Err(Failure::Failed(error))
+            }
+            Ok(KeeperEvent::Complaint(why)) => eprintln!("{why}"),
+            Ok(_) => {}
+            Err(_) => return Err(Failure::Failed("nothing came of it in time".to_owned())),
+        }
+    }
+}
+
+fn renew(control: Option<SocketAddr>) -> Result<(), Failure> {
+    let Some(control) = control.filter(|control| control.port() != 0) else {
+        return Err(Failure::Usage(
+            "--control: missing, expected the running node's control port".to_owned(),
+        ));
+    };
+    let answer = ask(control, &json!({"op": "renew"}))?;
+    if answer["ok"] != true {
+        return Err(Failure::Failed(answer["error"].as_str().unwrap_or("no answer").to_owned()));
+    }
+    println!("the node orders a new certificate; its log and `cert show` tell what comes of it");
+    Ok(())
+}
--- a/crates/lemoncleat-cli/src/circuits.rs
+++ b/crates/lemoncleat-cli/src/circuits.rs
@@ -1,12 +1,9 @@
 //! `lemoncleat circuits`.
 
-use std::io::{BufRead, BufReader, Write};
-use std::net::TcpStream;
-use std::time::Duration;
-
 use serde_json::{json, Value};
 
 use crate::args::{CircuitsArgs, CircuitsCommand, RangeArgs};
+use crate::control::ask;
 use crate::Failure;
 
 fn ordered(op: &str, range: &RangeArgs) -> Value {
@@ -24,13 +21,7 @@
         Some(CircuitsCommand::Reset(range)) => ordered("reset", range),
         Some(CircuitsCommand::Audit { server }) => json!({"op": "audit", "server": server}),
     };
-    let reach = |error| Failure::Failed(format!("{}: {error}", args.control));
-    let mut stream = TcpStream::connect_timeout(&args.control, Duration::from_secs(5)).map_err(reach)?;
-    stream.set_read_timeout(Some(Duration::from_secs(10))).map_err(reach)?;
-    stream.write_all(format!("{request}\n").as_bytes()).map_err(reach)?;
-    let mut line = String::new();
-    BufReader::new(stream).read_line(&mut line).map_err(reach)?;
-    let answer: Value = serde_json::from_str(&line).map_err(Failure::failed)?;
+    let answer = ask(args.control, &request)?;
     if args.json {
         println!("{answer}");
     }
--- a/crates/lemoncleat-cli/src/main.rs
+++ b/crates/lemoncleat-cli/src/main.rs
@@ -1,7 +1,9 @@
 //! The `lemoncleat` command.
 
 mod args;
+mod cert;
 mod circuits;
+mod control;
 mod glare;
 mod lab;
 mod measure;
@@ -38,6 +40,7 @@
         Command::Judge(args) => rehearse::judge_file(&args),
         Command::Load(args) => lab::load(&args),
         Command::Circuits(args) => circuits::run(&args),
+        Command::Cert(args) => cert::run(&args),
         Command::Lab(args) => match args.command {
             args::LabCommand::Up(args) => lab::up(&args),
             args::LabCommand::Glare(args) => glare::run(&args),
--- a/crates/lemoncleat-cli/src/node.rs
+++ b/crates/lemoncleat-cli/src/node.rs
@@ -10,7 +10,7 @@
 use crate::args::{CheckArgs, NodeArgs};
 use crate::Failure;
 
-fn read(file: &Path) -> Result<Config, Failure> {
+pub fn read(file: &Path) -> Result<Config, Failure> {
     let name = file.display().to_string();
     let text = std::fs::read_to_string(file).map_err(|error| Failure::Usage(format!("{name}: {error}")))?;
     read_config(&text).map_err(|error| Failure::Usage(error.in_file(&name)))
@@ -46,10 +46,14 @@
         println!("listening on {bound}");
         listeners.push(listener);
     }
-    let stats = serve(config.service, listeners, |mailbox, control| {
-        if let Some(control) = control {
+    let stats = serve(config.service, listeners, |started| {
+        if let Some(control) = started.control {
             println!("control on {control}");
         }
+        if let Some(challenge) = started.challenge {
+            println!("challenges on {challenge}");
+        }
+        let mailbox = started.mailbox;
         std::thread::spawn(move || {
             futures_lite::future::block_on(async {
                 while let Some(signal) = signals.next().await {
--- a/crates/lemoncleat-diameter/src/frame.rs
+++ b/crates/lemoncleat-diameter/src/frame.rs
@@ -78,7 +78,7 @@
         let length = u32::from_be_bytes([0, a, b, c]) as usize;
         let error = if version != 1 {
             Some(FrameError::Version(version))
-        } else if length < HEADER_LEN || length % 4 != 0 {
+        } else if length < HEADER_LEN || !length.is_multiple_of(4) {
             Some(FrameError::Length(length))
         } else if length > self.limit {
             Some(FrameError::TooLong { length, limit: self.limit })
--- a/crates/lemoncleat-diameter/src/message.rs
+++ b/crates/lemoncleat-diameter/src/message.rs
@@ -86,7 +86,7 @@
         let head: &[u8; HEADER_LEN] = bytes.first_chunk().ok_or(HeaderError::Short(bytes.len()))?;
         let word = |at: usize| u32::from_be_bytes([head[at], head[at + 1], head[at + 2], head[at + 3]]);
         let length = (word(0) & 0x00ff_ffff) as usize;
-        if length != bytes.len() || length % 4 != 0 {
+        if length != bytes.len() || !length.is_multiple_of(4) {
             return Err(HeaderError::Length(length));
         }
         let header = Header {
--- a/crates/lemoncleat-lab/src/world.rs
+++ b/crates/lemoncleat-lab/src/world.rs
@@ -1158,7 +1158,7 @@
         let each = trouble.length.0 / places.len() as Micros;
         let Some(place) = places.get(step as usize / 2).copied() else { return };
         let old = self.in_place[place];
-        if step % 2 == 0 {
+        if step.is_multiple_of(2) {
             self.announce(now, old, Listed::Draining);
             self.at(now + each * 2 / 3, Tick::Step(number, step + 1));
             return;
--- a/crates/lemoncleat-net/src/lib.rs
+++ b/crates/lemoncleat-net/src/lib.rs
@@ -10,7 +10,9 @@
 
 mod tls;
 
-pub use tls::{client_config, server_config, MinVersion, TlsError, TlsFiles};
+pub use tls::{
+    client_config, proof_config, server_config, Authorities, Identity, MinVersion, TlsError, TlsFiles,
+};
 
 use std::collections::{HashMap, VecDeque};
 use std::io::{self, Read, Write};
@@ -155,6 +157,8 @@
 /// TLS of the listeners of a tag.
 struct ListenerTls {
     config: Arc<ServerConfig>,
+    /// For handshakes that prove a name.
+    proof: Option<Arc<ServerConfig>>,
     most: usize,
     time: Duration,
 }
@@ -262,7 +266,16 @@
     /// time, and holds for handshakes that begin then. More than `most` handshakes at once are turned away, and
     /// one that takes longer than `time` is given up.
     pub fn listen_with_tls(&mut self, tag: u64, config: Arc<ServerConfig>, most: usize, time: Duration) {
-        self.listener_tls.insert(tag, ListenerTls { config, most, time });
+        let proof = self.listener_tls.remove(&tag).and_then(|tls| tls.proof);
+        self.listener_tls.insert(tag, ListenerTls { config, proof, most, time });
+    }
+
+    /// Handshakes of a certificate authority that wants a name proven (RFC 8737) are answered with this on a tag's
+    /// listeners, and their connections closed; without it they get what all others do.
+    pub fn prove_with_tls(&mut self, tag: u64, proof: Option<Arc<ServerConfig>>) {
+        if let Some(tls) = self.listener_tls.get_mut(&tag) {
+            tls.proof = proof;
+        }
     }
 
     /// The next dial with this tag speaks TLS and expects a certificate for this name.
@@ -281,6 +294,16 @@
         Some(self.conns.get(&conn)?.tls.as_ref()?.peer_names())
     }
 
+    /// The certificate (DER) that the other end of a connection showed; `None` without TLS.
+    pub fn peer_certificate(&self, conn: u64) -> Option<Vec<u8>> {
+        self.conns.get(&conn)?.tls.as_ref()?.peer_certificate()
+    }
+
+    /// Whether a connection's handshake took up an earlier one's secrets; then no certificate was shown in it.
+    pub fn is_resumed(&self, conn: u64) -> bool {
+        self.conns.get(&conn).and_then(|conn| conn.tls.as_ref()).is_some_and(|tls| tls.is_resumed())
+    }
+
     /// Gives up the dial with this tag, if one is under way.
     pub fn stop_dial(&mut self, tag: u64) {
         self.dials.remove(&tag);
@@ -475,7 +498,13 @@
         let tls = state.tls.as_mut()?;
         let result = tls.decrypt(bytes);
         let open = !tls.is_handshaking();
+        let proof = tls.is_proof();
         self.flush_tls(conn);
+        if open && proof {
+            // The handshake was all that was wanted.
+            self.close(conn);
+            return None;
+        }
         match result {
             Ok(plain) => {
                 if open {
@@ -508,7 +537,7 @@
                 if self.handshakes.len() >= tls.most {
                     return None;
                 }
-                let (session, time) = (Session::server(tls.config.clone()).ok()?, tls.time);
+                let (session, time) = (Session::server(tls.config.clone(), tls.proof.clone()), tls.time);
                 self.handshake(stream, session, Origin::Accepted(tag), time);
                 return None;
             }
--- a/crates/lemoncleat-service/src/config.rs
+++ b/crates/lemoncleat-service/src/config.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use lemoncleat::{Availability, Class, DedupGroup, Effect, Membership, Settings};
+use lemoncleat_certificates::{ChallengeKind, External, KeeperSettings, KeyKind, Policy};
 use lemoncleat_net::{MinVersion, TlsFiles};
 use lemoncleat_node::circuits::audit::Audits;
 use lemoncleat_node::circuits::{Order, Timers};
@@ -15,7 +16,7 @@
 use serde::Deserialize;
 
 use crate::log::LogFormat;
-use crate::service::{ServiceSettings, TlsSettings};
+use crate::service::{ServiceSettings, TlsSettings, TlsSource};
 
 /// All that a settings file says.
 #[derive(Clone, Debug)]
@@ -193,8 +194,9 @@
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case")]
 struct TlsFile {
-    certificate: PathBuf,
-    key: PathBuf,
+    certificate: Option<PathBuf>,
+    key: Option<PathBuf>,
+    acme: Option<AcmeFile>,
     authorities: PathBuf,
     #[serde(default)]
     min_version: VersionFile,
@@ -204,6 +206,153 @@
     handshake_time: Span,
 }
 
+#[derive(Clone, Copy, Default, Deserialize)]
+enum ChallengeFile {
+    #[default]
+    #[serde(rename = "http-01")]
+    Http01,
+    #[serde(rename = "tls-alpn-01")]
+    TlsAlpn01,
+}
+
+#[derive(Clone, Copy, Default, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+enum KeyFile {
+    #[default]
+    Es256,
+    Eddsa,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+struct ExternalFile {
+    key_id: String,
+    key_file: PathBuf,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+struct AcmeFile {
+    directory: String,
+    state: PathBuf,
+    authority_roots: Option<PathBuf>,
+    #[serde(default)]
+    contact: Vec<String>,
+    #[serde(default)]
+    names: Vec<String>,
+    external: Option<ExternalFile>,
+    #[serde(default)]
+    account_key: KeyFile,
+    #[serde(default)]
+    challenge: ChallengeFile,
+    challenge_listen: Option<SocketAddr>,
+    preferred_chain: Option<String>,
+    #[serde(default = "renew_at")]
+    renew_at: f64,
+    #[serde(default = "renew_spread")]
+    spread: f64,
+    #[serde(default = "first_wait")]
+    first_wait: Span,
+    #[serde(default = "most_wait")]
+    most_wait: Span,
+    #[serde(default = "least_wait")]
+    least_wait: Span,
+    #[serde(default = "try_time")]
+    try_time: Span,
+    #[serde(default = "answer_time")]
+    answer_time: Span,
+    #[serde(default = "look")]
+    look: Span,
+}
+
+fn renew_at() -> f64 {
+    Policy::default().share
+}
+fn renew_spread() -> f64 {
+    Policy::default().spread
+}
+fn first_wait() -> Span {
+    Span(Policy::default().first_wait * 1_000_000)
+}
+fn most_wait() -> Span {
+    Span(Policy::default().most_wait * 1_000_000)
+}
+fn least_wait() -> Span {
+    Span(Policy::default().least_wait * 1_000_000)
+}
+fn try_time() -> Span {
+    Span(600_000_000)
+}
+fn answer_time() -> Span {
+    Span(30_000_000)
+}
+fn look() -> Span {
+    Span(10_000_000)
+}
+
+impl AcmeFile {
+    /// The names of a certificate always hold the node's own.
+    fn settings(self, host: &str) -> Result<KeeperSettings, Error> {
+        if !self.directory.starts_with("https://") && !self.directory.starts_with("http://") {
+            return bad("tls.acme.directory", format!("{:?}, expected a URL of https", self.directory));
+        }
+        if !(self.renew_at > 0.0 && self.renew_at < 1.0 && (0.0..1.0).contains(&self.spread)) {
+            return bad("tls.acme.renew-at", "expected shares of a certificate's life between 0 and 1");
+        }
+        let spans =
+            [self.first_wait, self.most_wait, self.least_wait, self.try_time, self.answer_time, self.look];
+        if spans.iter().any(|span| span.0 < 1_000_000) {
+            return bad("tls.acme", "a wait or time below 1s, expected 1s at the least");
+        }
+        let challenge = match self.challenge {
+            ChallengeFile::Http01 => ChallengeKind::Http01,
+            ChallengeFile::TlsAlpn01 => ChallengeKind::TlsAlpn01,
+        };
+        if challenge == ChallengeKind::Http01 && self.challenge_listen.is_none() {
+            return bad("tls.acme.challenge-listen", "missing, expected the address where http-01 is served");
+        }
+        let mut names = vec![host.to_ascii_lowercase()];
+        for name in self.names {
+            let name = name.to_ascii_lowercase();
+            if !names.contains(&name) {
+                names.push(name);
+            }
+        }
+        let seconds = |span: Span| span.0 / 1_000_000;
+        let time = |span: Span| Duration::from_micros(span.0.max(0) as u64);
+        // The same node draws the same moments at each start, and no two nodes the same.
+        let seed = host.bytes().fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
+            (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+        });
+        let external = self.external.map(|file| External { key_id: file.key_id, key_file: file.key_file });
+        Ok(KeeperSettings {
+            roots: self.authority_roots,
+            contact: self.contact,
+            external,
+            key: match self.account_key {
+                KeyFile::Es256 => KeyKind::Es256,
+                KeyFile::Eddsa => KeyKind::EdDsa,
+            },
+            challenge,
+            listen: self.challenge_listen,
+            preferred_chain: self.preferred_chain,
+            policy: Policy {
+                share: self.renew_at,
+                spread: self.spread,
+                first_wait: seconds(self.first_wait),
+                most_wait: seconds(self.most_wait),
+                least_wait: seconds(self.least_wait),
+                ..Policy::default()
+            },
+            seed,
+            try_time: time(self.try_time),
+            answer_time: time(self.answer_time),
+            look: time(self.look),
+            ..KeeperSettings::new(self.state, names, self.directory)
+        })
+    }
+}
+
 fn many_handshakes() -> usize {
     256
 }
@@ -212,16 +361,22 @@
 }
 
 impl TlsFile {
-    fn settings(self) -> TlsSettings {
-        TlsSettings {
-            files: TlsFiles { certificate: self.certificate, key: self.key, authorities: self.authorities },
+    fn settings(self, host: &str) -> Result<TlsSettings, Error> {
+        let source = match (self.certificate, self.key, self.acme) {
+            (Some(certificate), Some(key), None) => TlsSource::Files(TlsFiles { certificate, key }),
+            (None, None, Some(acme)) => TlsSource::Acme(Box::new(acme.settings(host)?)),
+            _ => return bad("tls", "expected either certificate and key, or acme"),
+        };
+        Ok(TlsSettings {
+            source,
+            authorities: self.authorities,
             min: match self.min_version {
                 VersionFile::Tls12 => MinVersion::Tls12,
                 VersionFile::Tls13 => MinVersion::Tls13,
             },
             handshakes: self.handshakes,
             time: Duration::from_micros(self.handshake_time.0.max(1) as u64),
-        }
+        })
     }
 }
 
@@ -469,7 +624,7 @@
             node,
             feed: self.feed,
             servers: servers.collect(),
-            tls: self.tls.map(TlsFile::settings),
+            tls: self.tls.map(|tls| tls.settings(&self.host)).transpose()?,
             control: self.control,
             seed: self.seed,
         };
--- a/crates/lemoncleat-service/src/control.rs
+++ b/crates/lemoncleat-service/src/control.rs
@@ -1,8 +1,9 @@
 //! The control port: one JSON object a line in, one out, for operators on the node's own machine.
 //!
 //! `{"op":"list"}`, `{"op":"circuits","server":S}`, and `{"op":"block"|"unblock"|"reset"|"audit","server":S,
-//! "first":N,"count":N,"hardware":BOOL}`. The answer has `"ok":true`, or `"ok":false` and `"error"`.
+//! "first":N,"count":N,"hardware":BOOL}`, and `{"op":"renew"}` for a new certificate. The answer has `"ok":true`, or `"ok":false` and `"error"`.
 
+use lemoncleat_certificates::Keeper;
 use lemoncleat_node::circuits::{Blocks, Range, State};
 use lemoncleat_node::{CircuitOrder, Micros, Node, Output};
 use serde::Deserialize;
@@ -20,6 +21,7 @@
     Unblock,
     Reset,
     Audit,
+    Renew,
 }
 
 #[derive(Deserialize)]
@@ -58,8 +60,21 @@
 }
 
 /// Answers a line.
-pub(crate) fn answer(node: &mut Node, now: Micros, line: &[u8], out: &mut Vec<Output>) -> Value {
+pub(crate) fn answer(
+    node: &mut Node,
+    keeper: Option<&Keeper>,
+    now: Micros,
+    line: &[u8],
+    out: &mut Vec<Output>,
+) -> Value {
     match serde_json::from_slice::<Order>(line) {
+        Ok(Order { op: Op::Renew, .. }) => match keeper {
+            Some(keeper) => {
+                keeper.renew_now();
+                json!({"ok": true})
+            }
+            None => json!({"ok": false, "error": "this node's certificates do not come by ACME"}),
+        },
         Ok(order) => {
             carry_out(node, now, &order, out).unwrap_or_else(|error| json!({"ok": false, "error": error}))
         }
@@ -103,6 +118,7 @@
         Op::Unblock => CircuitOrder::Unblock { hardware },
         Op::Reset => CircuitOrder::Reset,
         Op::Audit => CircuitOrder::Audit,
+        Op::Renew => return Err("not about circuits".to_owned()),
     };
     let range = Range { first: order.first, count: order.count };
     node.order(now, &order.server, range, wanted, out)?;
--- a/crates/lemoncleat-service/src/lib.rs
+++ b/crates/lemoncleat-service/src/lib.rs
@@ -10,6 +10,8 @@
 pub use config::{read as read_config, Config, ConfigError, LogConfig};
 pub use feed::{parse_line, FeedError, FeedLine};
 pub use log::{init as init_log, LogFormat};
-pub use service::{serve, spawn, Control, Running, ServiceError, ServiceSettings, TlsSettings};
+pub use service::{
+    serve, spawn, Control, Running, ServiceError, ServiceSettings, Started, TlsSettings, TlsSource,
+};
 
 pub use lemoncleat_net::{MinVersion, TlsFiles};
--- a/crates/lemoncleat-service/src/log.rs
+++ b/crates/lemoncleat-service/src/log.rs
@@ -1,5 +1,8 @@
 //! The log: the node's notices as tracing events, text or JSON.
 
+use std::time::{Duration, UNIX_EPOCH};
+
+use lemoncleat_certificates::RenewerNotice;
 use lemoncleat_node::{Level, Notice};
 use tracing_subscriber::EnvFilter;
 
@@ -45,3 +48,23 @@
         Level::Error => tracing::error!(node = host, "{notice}"),
     }
 }
+
+/// Writes what an operator should know of a node's certificates.
+pub(crate) fn certificate(host: &str, notice: &RenewerNotice) {
+    let moment =
+        |at: i64| httpdate::fmt_http_date(UNIX_EPOCH + Duration::from_secs(at.clamp(0, LAST) as u64));
+    match notice {
+        RenewerNotice::Renewed(until) => {
+            tracing::info!(node = host, "new certificate, valid until {}", moment(*until));
+        }
+        RenewerNotice::TryFailed { error, again } => {
+            tracing::warn!(node = host, "no new certificate: {error}; tried again at {}", moment(*again));
+        }
+        RenewerNotice::NothingValid => {
+            tracing::error!(node = host, "no valid certificate: new handshakes are refused");
+        }
+    }
+}
+
+/// The last moment that such dates can tell: the end of the year 9999.
+const LAST: i64 = 253_402_300_799;
--- a/crates/lemoncleat-service/src/service.rs
+++ b/crates/lemoncleat-service/src/service.rs
@@ -4,11 +4,16 @@
 use std::fmt;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
-use std::sync::mpsc;
+use std::path::PathBuf;
+use std::sync::{mpsc, Arc};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use lemoncleat_net::{client_config, server_config, Event, Mailbox, MinVersion, Net, ServerName, TlsFiles};
+use lemoncleat_certificates::{Keeper, KeeperEvent, KeeperSettings};
+use lemoncleat_net::{
+    client_config, server_config, Authorities, ClientConfig, Event, Identity, Mailbox, MinVersion, Net,
+    ServerName, TlsFiles,
+};
 use lemoncleat_node::{
     ConnId, Input, ListEntry, ListNews, Micros, Node, NodeSettings, Output, PeerId, Stats,
 };
@@ -43,11 +48,22 @@
     pub seed: Option<u64>,
 }
 
+/// Where a node's certificate comes from.
+#[derive(Clone, Debug)]
+pub enum TlsSource {
+    /// Files that somebody else keeps.
+    Files(TlsFiles),
+    /// An authority, by ACME.
+    Acme(Box<KeeperSettings>),
+}
+
 /// TLS of a node.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug)]
 pub struct TlsSettings {
-    /// Its certificate and key, and whom it trusts.
-    pub files: TlsFiles,
+    /// Where its certificate comes from.
+    pub source: TlsSource,
+    /// The file of authorities whose certificates are trusted at peers.
+    pub authorities: PathBuf,
     /// The oldest TLS that is spoken.
     pub min: MinVersion,
     /// Most handshakes at once.
@@ -63,6 +79,10 @@
     List(ListNews),
     /// Read the certificate's files again: new handshakes use them, connections that stand live on.
     ReloadTls,
+    /// What the keeper of its certificates tells.
+    Certificates(KeeperEvent),
+    /// Order a new certificate now.
+    Renew,
     /// Stop in order.
     Stop,
     /// Do nothing for a while, as a process that gets no turn; for rehearsals.
@@ -103,6 +123,8 @@
     pub address: SocketAddr,
     /// Its control port.
     pub control_address: Option<SocketAddr>,
+    /// Where it serves files for http-01.
+    pub challenge_address: Option<SocketAddr>,
     mailbox: Mailbox<Control>,
     thread: JoinHandle<Result<Stats, ServiceError>>,
 }
@@ -133,6 +155,16 @@
     }
 }
 
+/// What whoever started a node is told once it is there.
+pub struct Started {
+    /// A way to reach it.
+    pub mailbox: Mailbox<Control>,
+    /// Its control port.
+    pub control: Option<SocketAddr>,
+    /// Where it serves files for http-01.
+    pub challenge: Option<SocketAddr>,
+}
+
 /// Runs a node on a thread of its own.
 ///
 /// # Errors
@@ -140,15 +172,17 @@
 /// When the listener's address can't be told or the thread not be started.
 pub fn spawn(settings: ServiceSettings, listener: TcpListener) -> Result<Running, ServiceError> {
     let address = listener.local_addr()?;
-    let (sender, mailbox) = mpsc::channel();
+    let (sender, ready) = mpsc::channel();
     let name = format!("node {}", settings.node.host);
     let thread = std::thread::Builder::new().name(name).spawn(move || {
-        serve(settings, vec![listener], move |mailbox, control| {
-            let _ = sender.send((mailbox, control));
+        serve(settings, vec![listener], move |started| {
+            let _ = sender.send(started);
         })
     })?;
-    match mailbox.recv() {
-        Ok((mailbox, control_address)) => Ok(Running { address, control_address, mailbox, thread }),
+    match ready.recv() {
+        Ok(Started { mailbox, control, challenge }) => {
+            Ok(Running { address, control_address: control, challenge_address: challenge, mailbox, thread })
+        }
         Err(_) => match thread.join() {
             Ok(Err(error)) => Err(error),
             _ => Err(ServiceError::Settings("the node ended at once".to_owned())),
@@ -156,8 +190,7 @@
     }
 }
 
-/// Runs a node on the present thread until it is stopped. `ready` gets a way to reach it and the address of its
-/// control port.
+/// Runs a node on the present thread until it is stopped. `ready` hears once it is there.
 ///
 /// # Errors
 ///
@@ -165,7 +198,7 @@
 pub fn serve(
     settings: ServiceSettings,
     listeners: Vec<TcpListener>,
-    ready: impl FnOnce(Mailbox<Control>, Option<SocketAddr>),
+    ready: impl FnOnce(Started),
 ) -> Result<Stats, ServiceError> {
     lemoncleat_net::run(async |mut net: Net<Control>| {
         let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
@@ -190,11 +223,12 @@
             control_address = Some(listener.local_addr()?);
             net.listen(listener, CONTROL)?;
         }
-        ready(net.sender(), control_address);
+        let mailbox = net.sender();
         let start = Instant::now();
         let tls = settings.tls;
         let mut service = Service {
             tls,
+            identity: None,
             client_tls: None,
             node,
             net,
@@ -207,8 +241,12 @@
             looked: 0,
             away: false,
             stopped: false,
+            keeper: None,
         };
         service.load_tls().map_err(ServiceError::Settings)?;
+        service.start_keeper().map_err(ServiceError::Settings)?;
+        let challenge = service.keeper.as_ref().and_then(Keeper::challenge_address);
+        ready(Started { mailbox, control: control_address, challenge });
         service.looked = service.clock();
         if !settings.servers.is_empty() {
             service.handle(Input::List(ListNews::Complete(settings.servers)));
@@ -219,11 +257,13 @@
 
 struct Service {
     tls: Option<TlsSettings>,
-    client_tls: Option<std::sync::Arc<lemoncleat_net::ClientConfig>>,
+    /// What is shown to peers.
+    identity: Option<Identity>,
+    client_tls: Option<Arc<ClientConfig>>,
     node: Node,
     net: Net<Control>,
     start: Instant,
-    host: std::sync::Arc<str>,
+    host: Arc<str>,
     open: Duration,
     outputs: Vec<Output>,
     /// Connections of the control port, and what came on them.
@@ -236,6 +276,8 @@
     away: bool,
     /// The core has stopped.
     stopped: bool,
+    /// Keeps it in certificates, where they come by ACME.
+    keeper: Option<Keeper>,
 }
 
 impl Service {
@@ -262,13 +304,50 @@
     /// Reads the files of TLS. What is in force stays so if they are not as they should be.
     fn load_tls(&mut self) -> Result<(), String> {
         let Some(tls) = &self.tls else { return Ok(()) };
-        let server = server_config(&tls.files, tls.min).map_err(|error| error.to_string())?;
-        let client = client_config(&tls.files, tls.min).map_err(|error| error.to_string())?;
+        let identity = match &tls.source {
+            TlsSource::Files(files) => Some(Identity::read(files).map_err(|error| error.to_string())?),
+            TlsSource::Acme(_) => self.identity.clone(),
+        };
+        let authorities = Authorities::read(&tls.authorities).map_err(|error| error.to_string())?;
+        let server =
+            server_config(identity.clone(), &authorities, tls.min).map_err(|error| error.to_string())?;
+        let client =
+            client_config(identity.clone(), &authorities, tls.min).map_err(|error| error.to_string())?;
         self.net.listen_with_tls(PEERS, server, tls.handshakes, tls.time);
-        self.client_tls = Some(client);
+        (self.identity, self.client_tls) = (identity, Some(client));
         Ok(())
     }
 
+    fn start_keeper(&mut self) -> Result<(), String> {
+        let Some(TlsSource::Acme(settings)) = self.tls.as_ref().map(|tls| &tls.source) else { return Ok(()) };
+        let mailbox = self.net.sender();
+        let keeper = Keeper::start((**settings).clone(), move |event| {
+            // Once the loop has ended there is nobody to tell.
+            let _ = mailbox.send_blocking(Control::Certificates(event));
+        });
+        self.keeper = Some(keeper?);
+        Ok(())
+    }
+
+    /// New handshakes show what the keeper says; connections that stand live on.
+    fn certificates(&mut self, event: KeeperEvent) {
+        match event {
+            KeeperEvent::Present(identity) => {
+                self.identity = identity;
+                if let Err(why) = self.load_tls() {
+                    tracing::error!(node = &*self.host, %why, "the new certificate is not shown");
+                }
+            }
+            KeeperEvent::Prove(config, placed) => {
+                self.net.prove_with_tls(PEERS, config);
+                // The keeper waits for it, unless it has given up.
+                let _ = placed.try_send(());
+            }
+            KeeperEvent::Notice(notice) => log::certificate(&self.host, &notice),
+            KeeperEvent::Complaint(why) => tracing::warn!(node = &*self.host, "{why}"),
+        }
+    }
+
     fn dial(&mut self, peer: PeerId, address: SocketAddr) {
         let tag = u64::from(peer.0);
         if let (Some(tls), Some(config)) = (&self.tls, &self.client_tls) {
@@ -373,7 +452,8 @@
         while let Some(end) = held.iter().position(|byte| *byte == b'\n') {
             let line: Vec<u8> = held.drain(..=end).collect();
             let now = self.turn();
-            let answer = control::answer(&mut self.node, now, &line, &mut self.outputs);
+            let keeper = self.keeper.as_ref();
+            let answer = control::answer(&mut self.node, keeper, now, &line, &mut self.outputs);
             self.net.send(conn, format!("{answer}\n").as_bytes());
         }
         if held.len() > control::MAX_LINE {
@@ -408,6 +488,12 @@
                 Ok(()) => tracing::info!(node = &*self.host, "certificate read again"),
                 Err(why) => tracing::error!(node = &*self.host, %why, "the old certificate stays in force"),
             },
+            Event::Message(Control::Certificates(event)) => self.certificates(event),
+            Event::Message(Control::Renew) => {
+                if let Some(keeper) = &self.keeper {
+                    keeper.renew_now();
+                }
+            }
             Event::Message(Control::Stop) => self.handle(Input::Stop),
             Event::Message(Control::Stats(answer)) => {
                 let _ = answer.send(self.node.stats());
--- a/crates/lemoncleat-service/tests/tls.rs
+++ b/crates/lemoncleat-service/tests/tls.rs
@@ -10,7 +10,9 @@
 use common::{aar, capabilities, cer, dwr};
 use lemoncleat_diameter::dictionary as d;
 use lemoncleat_diameter::{FrameReader, MessageBuilder, MessageRef};
-use lemoncleat_net::{client_config, server_config, Event, MinVersion, Net, ServerName, TlsFiles};
+use lemoncleat_net::{
+    client_config, server_config, Authorities, Event, Identity, MinVersion, Net, ServerName, TlsFiles,
+};
 use lemoncleat_service::{read_config, spawn, Control, Running};
 use rcgen::{BasicConstraints, CertificateParams, CertifiedIssuer, IsCa, KeyPair};
 
@@ -51,13 +53,14 @@
         let path = |end: &str| self.folder.0.join(format!("{}.{end}", names[0]));
         std::fs::write(path("pem"), certificate.pem()).expect("it is written");
         std::fs::write(path("key"), key.serialize_pem()).expect("it is written");
-        TlsFiles { certificate: path("pem"), key: path("key"), authorities: self.folder.0.join("ca.pem") }
+        TlsFiles { certificate: path("pem"), key: path("key") }
     }
 }
 
 /// The ends that the test plays: connections, and whole messages that came on them.
 struct Ends {
     net: Net<()>,
+    authorities: Authorities,
     readers: HashMap<u64, FrameReader>,
     accepted: Vec<u64>,
     dialled: HashMap<u64, Option<u64>>,
@@ -93,7 +96,8 @@
 
     async fn dial(&mut self, tag: u64, node: &Running, files: &TlsFiles) -> u64 {
         let name = ServerName::try_from("node.example").expect("a name");
-        let config = client_config(files, MinVersion::Tls13).expect("good files");
+        let identity = Identity::read(files).expect("good files");
+        let config = client_config(Some(identity), &self.authorities, MinVersion::Tls13).expect("good files");
         self.net.dial_with_tls(tag, name, config, TIME);
         self.net.dial(node.address, tag, TIME);
         while !self.dialled.contains_key(&tag) {
@@ -117,7 +121,9 @@
     lemoncleat_net::run(async |mut net: Net<()>| {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let server_address = listener.local_addr().expect("an address");
-        let config = server_config(&server_files, MinVersion::Tls13).expect("good files");
+        let authorities = Authorities::read(&authority.folder.0.join("ca.pem")).expect("an authority");
+        let identity = Identity::read(&server_files).expect("good files");
+        let config = server_config(Some(identity), &authorities, MinVersion::Tls13).expect("good files");
         net.listen_with_tls(TO_SERVER, config, 10, TIME);
         net.listen(listener, TO_SERVER).expect("it listens");
         let text = format!(
@@ -129,13 +135,14 @@
              (plan (prefix (digits 351) (class browse)))",
             node_files.certificate.display(),
             node_files.key.display(),
-            node_files.authorities.display()
+            authority.folder.0.join("ca.pem").display()
         );
         let config = read_config(&text).expect("good settings");
         let listener = TcpListener::bind(config.listen[0]).expect("a port");
         let node = spawn(config.service, listener).expect("it starts");
         let mut ends = Ends {
             net,
+            authorities,
             readers: HashMap::new(),
             accepted: Vec::new(),
             dialled: HashMap::new(),
