rehearse renewals: certificates renewed under load, every handshake's certificate judged

Need: the proof that no call is cut, none refused and no expired certificate shown while certificates of seconds are renewed and the authority fails.

Every handshake with a node is recorded with its certificate's time, by the stand-ins' own connections and by a witness ten times a second; the judge counts those not valid then. Three troubles more: the authority away, refusals partway, front-ends that end their connections in order and come back with repeats of what was not answered.

--- a/crates/lemoncleat-authority/src/host.rs
+++ b/crates/lemoncleat-authority/src/host.rs
@@ -10,6 +10,7 @@
 
 use lemoncleat_http::{Limits, Message, Reader, Side};
 use ring::digest;
+use ring::signature::{UnparsedPublicKey, ECDSA_P256_SHA256_ASN1};
 use rustls::client::danger::{HandshakeSignatureValid, ServerCertVerified, ServerCertVerifier};
 use rustls::crypto::ring as provider;
 use rustls::pki_types::pem::PemObject;
@@ -283,8 +284,7 @@
         certificate: &CertificateDer<'_>,
         signed: &rustls::DigitallySignedStruct,
     ) -> Result<HandshakeSignatureValid, rustls::Error> {
-        let algorithms = provider::default_provider().signature_verification_algorithms;
-        rustls::crypto::verify_tls12_signature(message, certificate, signed, &algorithms)
+        verify(message, certificate, signed)
     }
 
     fn verify_tls13_signature(
@@ -293,11 +293,25 @@
         certificate: &CertificateDer<'_>,
         signed: &rustls::DigitallySignedStruct,
     ) -> Result<HandshakeSignatureValid, rustls::Error> {
-        let algorithms = provider::default_provider().signature_verification_algorithms;
-        rustls::crypto::verify_tls13_signature(message, certificate, signed, &algorithms)
+        verify(message, certificate, signed)
     }
 
     fn supported_verify_schemes(&self) -> Vec<SignatureScheme> {
-        provider::default_provider().signature_verification_algorithms.supported_schemes()
+        vec![SignatureScheme::ECDSA_NISTP256_SHA256]
     }
 }
+
+/// The usual check refuses a certificate whose critical extension it does not know, which is this one's purpose:
+/// whether the key is held is checked with ring.
+fn verify(
+    message: &[u8],
+    certificate: &CertificateDer<'_>,
+    signed: &rustls::DigitallySignedStruct,
+) -> Result<HandshakeSignatureValid, rustls::Error> {
+    let wrong = || rustls::Error::InvalidCertificate(rustls::CertificateError::BadSignature);
+    let (_, certificate) = X509Certificate::from_der(certificate).map_err(|_| wrong())?;
+    let key =
+        UnparsedPublicKey::new(&ECDSA_P256_SHA256_ASN1, &certificate.public_key().subject_public_key.data);
+    key.verify(message, signed.signature()).map_err(|_| wrong())?;
+    Ok(HandshakeSignatureValid::assertion())
+}
--- a/crates/lemoncleat-authority/src/lib.rs
+++ b/crates/lemoncleat-authority/src/lib.rs
@@ -13,3 +13,10 @@
 pub use authority::{Authority, AuthoritySettings, Issued, ToValidate};
 pub use faults::{Faults, Stage, Wrong};
 pub use host::{Found, Host};
+
+/// From when to when a certificate (DER) is valid, in seconds since 1970.
+pub fn validity_of(certificate: &[u8]) -> Option<(i64, i64)> {
+    use x509_parser::prelude::{FromDer, X509Certificate};
+    let (_, certificate) = X509Certificate::from_der(certificate).ok()?;
+    Some((certificate.validity().not_before.timestamp(), certificate.validity().not_after.timestamp()))
+}
--- a/crates/lemoncleat-cli/src/rehearse.rs
+++ b/crates/lemoncleat-cli/src/rehearse.rs
@@ -86,7 +86,23 @@
             done.far_stood, done.circuits_in_use
         );
     }
-    if verdict.kept() && done.circuits_in_use == 0 {
+    let mut sound = verdict.kept() && done.circuits_in_use == 0;
+    if let Some((issued, complaints)) = &done.certificates {
+        println!("{issued} certificates issued to nodes; {} complaints of the authority", complaints.len());
+        for complaint in complaints {
+            println!("  {complaint}");
+        }
+        sound &= complaints.is_empty();
+    }
+    if day.harmless {
+        let refused = verdict.handshakes.map_or(0, |told| told.refused);
+        println!(
+            "a day without a reason for it: {} calls cut, {} turned away, {refused} handshakes refused",
+            verdict.cut, verdict.turned_away
+        );
+        sound &= verdict.cut + verdict.turned_away + refused == 0;
+    }
+    if sound {
         Ok(())
     } else {
         Err(Failure::Told)
--- a/crates/lemoncleat-cli/src/starter.rs
+++ b/crates/lemoncleat-cli/src/starter.rs
@@ -26,6 +26,10 @@
         self.0.control_address
     }
 
+    fn challenge(&self) -> Option<SocketAddr> {
+        self.0.challenge_address
+    }
+
     fn stall(&self, time: Duration) {
         self.0.control(Control::Stall(time));
     }
--- a/crates/lemoncleat-lab/src/bench_day.rs
+++ b/crates/lemoncleat-lab/src/bench_day.rs
@@ -253,6 +253,8 @@
             spread: scaled(json.discovery.spread as f64),
         },
         circuits: None,
+        certificates: None,
+        harmless: false,
         watchdog: Span(1_000_000),
         answer_margin: Span(30_000),
         attempts: json.allow.max_attempts,
--- a/crates/lemoncleat-lab/src/caller.rs
+++ b/crates/lemoncleat-lab/src/caller.rs
@@ -2,11 +2,15 @@
 
 use lemoncleat_diameter::dictionary as d;
 use lemoncleat_diameter::{ConnId, FrameReader, HopByHop, Local, MessageBuilder, Peer, PeerSettings};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use crate::server::MAX_MESSAGE;
 use crate::Micros;
 
+/// The T bit of a message's flags.
+const RETRANSMITTED: u8 = 0x10;
+
 /// A front-end: one client peer of one node.
 pub(crate) struct Front {
     pub host: String,
@@ -16,6 +20,8 @@
     pub reader: FrameReader,
     /// Callers whose request is out, by hop-by-hop identifier.
     pub requests: HopByHop<Sent>,
+    /// The set-ups among them, as they were sent.
+    pub unanswered: BTreeMap<u32, Vec<u8>>,
 }
 
 /// What a front-end waits for the answer of.
@@ -55,6 +61,7 @@
             conn: None,
             reader: FrameReader::new(MAX_MESSAGE),
             requests: HopByHop::new(seed as u32),
+            unanswered: BTreeMap::new(),
         }
     }
 
@@ -79,7 +86,27 @@
         if call.marks != 0 {
             request = request.add_u32(d::CALL_MARKS, call.marks);
         }
-        request.build()
+        let bytes = request.build();
+        self.unanswered.insert(hop_by_hop, bytes.clone());
+        bytes
+    }
+
+    /// The set-ups that were not answered, marked as repeats: for a connection that takes the place of another.
+    pub fn repeats(&mut self) -> Vec<Vec<u8>> {
+        let marked = |bytes: &Vec<u8>| {
+            let mut bytes = bytes.clone();
+            if let Some(flags) = bytes.get_mut(4) {
+                *flags |= RETRANSMITTED;
+            }
+            bytes
+        };
+        self.unanswered.values().map(marked).collect()
+    }
+
+    /// A set-up was answered, or its caller waits no more.
+    pub fn finish(&mut self, hop_by_hop: u32) -> Option<Sent> {
+        self.unanswered.remove(&hop_by_hop);
+        self.requests.finish(hop_by_hop)
     }
 
     /// A release.
--- a/crates/lemoncleat-lab/src/capture.rs
+++ b/crates/lemoncleat-lab/src/capture.rs
@@ -120,6 +120,24 @@
         /// Time to warm up.
         span: Micros,
     },
+    /// A handshake with a node in which it showed a certificate.
+    Handshake {
+        /// When.
+        at: Micros,
+        /// The node.
+        node: u16,
+        /// When by the wall clock, in seconds since 1970.
+        wall: i64,
+        /// From when to when the certificate is valid, in seconds since 1970.
+        validity: (i64, i64),
+    },
+    /// A handshake with a node that came to nothing.
+    NoHandshake {
+        /// When.
+        at: Micros,
+        /// The node.
+        node: u16,
+    },
     /// A server fell over under a cold start, as its model has it.
     Fell {
         /// When.
@@ -173,6 +191,8 @@
             | Record::Started { at, .. }
             | Record::Fell { at, .. }
             | Record::Trouble { at, .. }
+            | Record::Handshake { at, .. }
+            | Record::NoHandshake { at, .. }
             | Record::Stall { at, .. }
             | Record::Behind { at, .. }
             | Record::End { at } => *at,
--- a/crates/lemoncleat-lab/src/day.rs
+++ b/crates/lemoncleat-lab/src/day.rs
@@ -40,6 +40,12 @@
     /// Trunk groups between each node and each server.
     #[serde(default)]
     pub circuits: Option<CircuitDay>,
+    /// TLS everywhere, with certificates that the nodes get from a stand-in authority.
+    #[serde(default)]
+    pub certificates: Option<CertificateDay>,
+    /// Nothing of this day is a reason to cut or turn away a call: any that is counts as a failure.
+    #[serde(default)]
+    pub harmless: bool,
     /// Tw between nodes and servers.
     #[serde(default = "watchdog")]
     pub watchdog: Span,
@@ -228,6 +234,34 @@
     pub meets: f64,
 }
 
+/// How the nodes' certificates come about.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case", default)]
+pub struct CertificateDay {
+    /// How long they last. Certificates tell whole seconds.
+    pub lifetime: Span,
+    /// Share of that after which they are renewed.
+    pub renew_at: f64,
+    /// How names are proven: http-01 or tls-alpn-01.
+    pub challenge: String,
+    /// Share of requests whose nonce the authority refuses.
+    pub bad_nonces: f64,
+    /// How often a witness looks at each node's certificate in a handshake of its own.
+    pub witness: Span,
+}
+
+impl Default for CertificateDay {
+    fn default() -> Self {
+        CertificateDay {
+            lifetime: Span(40_000_000),
+            renew_at: 0.5,
+            challenge: "http-01".to_owned(),
+            bad_nonces: 0.1,
+            witness: Span(100_000),
+        }
+    }
+}
+
 fn two_seconds() -> Span {
     Span(2_000_000)
 }
@@ -265,6 +299,12 @@
     /// A node (`node`) gets no turn for `size` seconds, again and again until the end, with pauses of random
     /// lengths (`pause` on average) between.
     Stall,
+    /// The certificate authority is not reached.
+    AuthorityAway,
+    /// The certificate authority refuses once at each step from the order to the download, half of them for good.
+    AuthorityRefuses,
+    /// Every front-end ends its connections in order and comes back at once, at moments of its own until the end.
+    Rehandshake,
     /// A server sends half a message and no more, until the end closes the connection.
     HalfFrame,
 }
@@ -323,6 +363,9 @@
             TroubleKind::ListGone => "list-gone",
             TroubleKind::DeadLink => "dead-link",
             TroubleKind::Stall => "stall",
+            TroubleKind::AuthorityAway => "authority-away",
+            TroubleKind::AuthorityRefuses => "authority-refuses",
+            TroubleKind::Rehandshake => "rehandshake",
             TroubleKind::HalfFrame => "half-frame",
         };
         let on: Vec<String> = self.on.iter().map(u16::to_string).collect();
@@ -368,6 +411,15 @@
                 return bad(format!("servers[{index}].capacity"), "expected a rate above zero");
             }
         }
+        if let Some(certificates) = &self.certificates {
+            if certificates.lifetime.0 < 4_000_000 || !(0.1..0.9).contains(&certificates.renew_at) {
+                let told = "expected a lifetime of 4s at least and renewal between 0.1 and 0.9 of it";
+                return bad("certificates".to_owned(), told);
+            }
+            if !["http-01", "tls-alpn-01"].contains(&certificates.challenge.as_str()) {
+                return bad("certificates.challenge".to_owned(), "expected http-01 or tls-alpn-01");
+            }
+        }
         for (index, trouble) in self.troubles.iter().enumerate() {
             if trouble.on.iter().any(|server| usize::from(*server) >= self.servers.len()) {
                 return bad(format!("troubles[{index}].on"), "there is no server of that number");
@@ -414,6 +466,8 @@
     ("calm", include_str!("../days/calm.lisp")),
     ("short", include_str!("../days/short.lisp")),
     ("glare", include_str!("../days/glare.lisp")),
+    ("renewals", include_str!("../days/renewals.lisp")),
+    ("renewals-short", include_str!("../days/renewals-short.lisp")),
 ];
 
 /// The names of the days that are built in; the first is the default.
--- a/crates/lemoncleat-lab/src/judge.rs
+++ b/crates/lemoncleat-lab/src/judge.rs
@@ -1,7 +1,7 @@
 //! The judge: works the five rules and the service out of a capture. It shares nothing with the node but the
 //! byte codec, so that one mistake can't hide in both.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::fmt;
 
 use lemoncleat_diameter::dictionary as d;
@@ -96,6 +96,19 @@
     pub service: Option<f64>,
 }
 
+/// Handshakes with nodes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Handshakes {
+    /// How many there were.
+    pub handshakes: usize,
+    /// Certificates that were seen in them, of all nodes together.
+    pub certificates: usize,
+    /// Handshakes in which a certificate was shown that was not valid then.
+    pub not_valid: usize,
+    /// Handshakes that came to nothing.
+    pub refused: usize,
+}
+
 /// What a capture shows.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Verdict {
@@ -128,6 +141,8 @@
     /// Calls that came during one such stall and whose deadline, reckoned from its beginning, fell into another:
     /// not counted either when they have no answer. One that is late counts as any other.
     pub in_doubt: usize,
+    /// Handshakes with nodes, where there was TLS.
+    pub handshakes: Option<Handshakes>,
     /// Set-ups that succeeded after they were given up.
     pub late: usize,
     /// Servers that fell over.
@@ -147,7 +162,8 @@
 impl Verdict {
     /// Whether no rule was broken.
     pub fn kept(&self) -> bool {
-        self.rules.iter().all(|rule| rule.broken == 0) && self.circuits.1 == 0
+        let shown = self.handshakes.is_none_or(|handshakes| handshakes.not_valid == 0);
+        self.rules.iter().all(|rule| rule.broken == 0) && self.circuits.1 == 0 && shown
     }
 }
 
@@ -223,6 +239,9 @@
     circuit_shared: Vec<Violation>,
     glares: usize,
     stalls: Vec<(u16, Micros, Micros)>,
+    handshakes: Handshakes,
+    /// Certificates seen: of which node, from when to when.
+    seen: BTreeSet<(u16, i64, i64)>,
     behind: Vec<(Micros, Micros)>,
     troubles: BTreeMap<u16, (String, Micros, Option<Micros>)>,
     attempts: usize,
@@ -256,6 +275,8 @@
         circuit_shared: Vec::new(),
         glares: 0,
         stalls: Vec::new(),
+        handshakes: Handshakes::default(),
+        seen: BTreeSet::new(),
         behind: Vec::new(),
         troubles: BTreeMap::new(),
         attempts: 0,
@@ -333,6 +354,14 @@
                     trouble.2 = Some(*at);
                 }
             }
+            Record::Handshake { node, wall, validity, .. } => {
+                self.handshakes.handshakes += 1;
+                self.seen.insert((*node, validity.0, validity.1));
+                if *wall < validity.0 || *wall > validity.1 {
+                    self.handshakes.not_valid += 1;
+                }
+            }
+            Record::NoHandshake { .. } => self.handshakes.refused += 1,
             Record::Stall { at, node, time } => self.stalls.push((*node, *at, *at + *time)),
             Record::Behind { from, at } => self.behind.push((*from, *at)),
             Record::End { at } => self.end = *at,
@@ -802,6 +831,8 @@
             left,
             excused,
             in_doubt,
+            handshakes: (self.handshakes.handshakes + self.handshakes.refused > 0)
+                .then_some(Handshakes { certificates: self.seen.len(), ..self.handshakes }),
             late: self.late,
             circuits: (self.circuit_cases, self.circuit_shared.len()),
             circuit_shared: self.circuit_shared.first().cloned(),
--- a/crates/lemoncleat-lab/src/lib.rs
+++ b/crates/lemoncleat-lab/src/lib.rs
@@ -10,6 +10,7 @@
 mod bench_day;
 mod caller;
 mod capture;
+mod credentials;
 mod day;
 mod echo;
 mod far;
--- a/crates/lemoncleat-lab/src/report.rs
+++ b/crates/lemoncleat-lab/src/report.rs
@@ -50,6 +50,13 @@
             verdict.in_doubt
         );
     }
+    if let Some(told) = verdict.handshakes {
+        let _ = writeln!(
+            text,
+            "{} handshakes with nodes showed {} certificates, {} not valid then; {} came to nothing",
+            told.handshakes, told.certificates, told.not_valid, told.refused
+        );
+    }
     if verdict.behind > 0 {
         let ms = verdict.behind / 1_000;
         let _ = writeln!(text, "the stand-ins' own loop was behind for {ms} ms in all; moments allow for it");
--- a/crates/lemoncleat-lab/src/script.rs
+++ b/crates/lemoncleat-lab/src/script.rs
@@ -5,12 +5,11 @@
 
 use crate::day::Day;
 
-/// The settings of one node of a day.
-pub fn node_settings(day: &Day, node: u16, feed: SocketAddr, clients: &[String]) -> String {
+/// The settings of one node of a day; `tls` is its form for TLS, or that for plain connections.
+pub fn node_settings(day: &Day, node: u16, feed: SocketAddr, clients: &[String], tls: &str) -> String {
     let mut text = String::new();
     let processor = &day.processor;
-    let _ =
-        writeln!(text, "(plain yes) (host node-{node}.lab) (realm lab)\n(listen 127.0.0.1:0)\n(feed {feed})");
+    let _ = writeln!(text, "{tls} (host node-{node}.lab) (realm lab)\n(listen 127.0.0.1:0)\n(feed {feed})");
     let _ = writeln!(text, "(clients {})", clients.join(" "));
     let _ = writeln!(text, "(classes");
     for class in &day.classes {
--- a/crates/lemoncleat-lab/src/world.rs
+++ b/crates/lemoncleat-lab/src/world.rs
@@ -5,16 +5,19 @@
 use std::net::{SocketAddr, TcpListener};
 use std::time::{Duration, Instant};
 
+use lemoncleat_authority::validity_of;
 use lemoncleat_diameter::dictionary as d;
 use lemoncleat_diameter::{
-    result_code, ConnId, DisconnectCause, FrameReader, MessageBuilder, MessageRef, PeerInput, PeerOutput,
+    result_code, ConnId, DisconnectCause, DownReason, FrameReader, MessageBuilder, MessageRef, PeerInput,
+    PeerOutput,
 };
-use lemoncleat_net::{Event, Net};
+use lemoncleat_net::{Event, Identity, Net, ServerName};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
 use crate::caller::{Caller, CallerState, Front, Sent, SetUp};
 use crate::capture::{Capture, ClassFacts, End, Facts, Record};
+use crate::credentials::{wall, Credentials, HANDSHAKE, HANDSHAKES};
 use crate::day::{Day, Trouble, TroubleKind};
 use crate::list::{Entry, Feed, Listed};
 use crate::processor::{Processor, ProcessorSettings};
@@ -44,6 +47,8 @@
     fn address(&self) -> SocketAddr;
     /// Its control port, if it has one.
     fn control(&self) -> Option<SocketAddr>;
+    /// Where it serves files that prove its name, if it does.
+    fn challenge(&self) -> Option<SocketAddr>;
     /// It gets no turn for a while.
     fn stall(&self, time: Duration);
     /// It is stopped in order; returns when it has ended.
@@ -60,6 +65,8 @@
     Io(std::io::Error),
     /// A node did not start.
     Node(String),
+    /// The stand-in authority or a certificate could not be made.
+    Certificates(String),
     /// The connections did not come about in time.
     NotOpen(String),
 }
@@ -69,6 +76,7 @@
         match self {
             RehearseError::Io(error) => write!(f, "{error}"),
             RehearseError::Node(why) => write!(f, "a node did not start: {why}"),
+            RehearseError::Certificates(why) => write!(f, "no certificates: {why}"),
             RehearseError::NotOpen(why) => write!(f, "connections did not come about: {why}"),
         }
     }
@@ -95,6 +103,8 @@
     pub far_stood: u64,
     /// Circuits still in use at servers when every caller had hung up.
     pub circuits_in_use: u32,
+    /// Certificates that the authority issued to nodes, and what nodes did there that no client may do.
+    pub certificates: Option<(usize, Vec<String>)>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -114,6 +124,10 @@
     FarHangUp(usize, u16, u64),
     /// A change is due at a node's feed.
     Publish(u16),
+    /// A witness looks at a node's certificate.
+    Witness(u16),
+    /// A front-end ends its connection and comes back.
+    Rehandshake(usize),
     Peers,
     /// Shows whether this loop itself gets its turns.
     Beat,
@@ -145,11 +159,13 @@
     Server(usize),
     Front(usize),
     Feed(u16),
+    Witness,
 }
 
 /// Tags of listeners and dials: which stand-in they belong to.
 const TAG_FEED: u64 = 1 << 32;
 const TAG_FRONT: u64 = 1 << 33;
+const TAG_WITNESS: u64 = 1 << 34;
 
 /// A laboratory that is up.
 #[derive(Clone, Debug)]
@@ -171,9 +187,28 @@
     NodeEnded,
 }
 
+/// TLS of a rehearsal, with the identities of those who dial nodes.
+struct Tls {
+    credentials: Credentials,
+    fronts: Vec<Identity>,
+    witness: Identity,
+}
+
+impl Tls {
+    fn new(day: &Day, fronts: &[Front]) -> Result<Option<Tls>, String> {
+        let Some(certificates) = &day.certificates else { return Ok(None) };
+        let credentials = Credentials::new(certificates, day.seed)?;
+        let fronts: Result<Vec<Identity>, String> =
+            fronts.iter().map(|front| credentials.client_identity(&front.host)).collect();
+        let witness = credentials.client_identity("witness.lab")?;
+        Ok(Some(Tls { fronts: fronts?, witness, credentials }))
+    }
+}
+
 struct World {
     day: Day,
     net: Net<LabMessage>,
+    tls: Option<Tls>,
     start: Instant,
     /// When arrivals began.
     zero: Micros,
@@ -196,6 +231,7 @@
     nodes: Vec<Box<dyn NodeControl>>,
     next_id: u32,
     cutting: bool,
+    rehandshaking: bool,
     far_stood: u64,
     in_use_at_end: u32,
 }
@@ -260,14 +296,19 @@
     ) -> Result<World, RehearseError> {
         let mut rng = SmallRng::seed_from_u64(day.seed);
         let mut servers = Vec::new();
+        let mut listeners = Vec::new();
         for number in 0..day.servers.len() {
             let listener = TcpListener::bind("127.0.0.1:0")?;
             servers.push(Server::new(spec(&day, number, number, listener.local_addr()?), rng.random()));
-            net.listen(listener, number as u64)?;
+            listeners.push(listener);
         }
         let fronts: Vec<Front> = (0..day.nodes * day.fronts)
             .map(|number| Front::new(number, number % day.nodes, rng.random()))
             .collect();
+        let tls = Tls::new(&day, &fronts).map_err(RehearseError::Certificates)?;
+        for (number, listener) in listeners.into_iter().enumerate() {
+            listen(&mut net, tls.as_ref(), number, &servers[number].host, listener)?;
+        }
         let mut nodes = Vec::new();
         let mut feeds = Vec::new();
         for node in 0..day.nodes {
@@ -281,8 +322,13 @@
             feeds.push(feed);
             let own = fronts.iter().filter(|front| front.node == node).map(|front| front.host.clone());
             let clients: Vec<String> = own.chain(clients.iter().cloned()).collect();
-            let text = node_settings(&day, node, address, &clients);
-            nodes.push(start(&text).map_err(RehearseError::Node)?);
+            let form = tls.as_ref().map_or("(plain yes)".to_owned(), |tls| tls.credentials.node(node));
+            let text = node_settings(&day, node, address, &clients, &form);
+            let started = start(&text).map_err(RehearseError::Node)?;
+            if let Some(tls) = &tls {
+                tls.credentials.place(node, started.address(), started.challenge());
+            }
+            nodes.push(started);
         }
         let processor = &day.processor;
         let facts = Facts {
@@ -311,6 +357,7 @@
         let pending = vec![Vec::new(); feeds.len()];
         Ok(World {
             net,
+            tls,
             start: Instant::now(),
             zero: 0,
             due: BinaryHeap::new(),
@@ -331,6 +378,7 @@
             nodes,
             next_id: 1,
             cutting: false,
+            rehandshaking: false,
             far_stood: 0,
             in_use_at_end: 0,
             day,
@@ -387,6 +435,11 @@
         for (number, trouble) in self.day.troubles.clone().into_iter().enumerate() {
             self.at(zero + trouble.at.0, Tick::Begin(number));
         }
+        if self.tls.is_some() {
+            for node in 0..self.day.nodes {
+                self.at(zero, Tick::Witness(node));
+            }
+        }
         let length = self.day.length.0;
         let last = length + self.day.tail.0;
         self.at(zero + last, Tick::Last);
@@ -462,6 +515,7 @@
         let left_standing = self.servers.iter().filter(|server| server.up).map(Server::standing).sum();
         let (far_stood, circuits_in_use) = (self.far_stood, self.in_use_at_end);
         Rehearsal {
+            certificates: self.tls.as_ref().map(|tls| tls.credentials.told()),
             far_stood,
             circuits_in_use,
             capture: Capture { records: self.records },
@@ -551,6 +605,17 @@
             Tick::Finish(number) => self.end(now, number),
             Tick::Step(number, step) => self.step(now, number, step),
             Tick::Publish(node) => self.publish(now, node),
+            Tick::Witness(node) => {
+                let every = self.day.certificates.as_ref().map_or(1_000_000, |day| day.witness.0.max(10_000));
+                self.at(now + every, Tick::Witness(node));
+                let identity = self.tls.as_ref().map(|tls| tls.witness.clone());
+                self.dial_node(TAG_WITNESS + u64::from(node), node, identity);
+            }
+            Tick::Rehandshake(front) => {
+                if self.fronts[front].open().is_some() {
+                    self.tell_front(front, PeerInput::Disconnect(DisconnectCause::Rebooting));
+                }
+            }
             Tick::Peers => {
                 for index in 0..self.servers.len() {
                     let mut out = Vec::new();
@@ -595,14 +660,26 @@
             }
             Event::Accepted { tag, conn } => {
                 let index = tag as usize;
+                self.shown(conn, None);
                 if !self.servers[index].up || self.servers[index].fallen {
                     return self.net.abort(conn);
                 }
                 self.owners.insert(conn, Owner::Server(index));
                 self.servers[index].accept(conn);
             }
+            Event::Dialled { tag, conn } if tag >= TAG_WITNESS => {
+                self.shown(conn, Some((tag - TAG_WITNESS) as u16));
+                // It has seen what it came for.
+                self.owners.insert(conn, Owner::Witness);
+                self.net.close(conn);
+            }
+            Event::DialFailed { tag } if tag >= TAG_WITNESS => {
+                let node = (tag - TAG_WITNESS) as u16;
+                self.records.push(Record::NoHandshake { at: now, node });
+            }
             Event::Dialled { tag, conn } => {
                 let index = (tag - TAG_FRONT) as usize;
+                self.shown(conn, Some(self.fronts[index].node));
                 self.owners.insert(conn, Owner::Front(index));
                 self.fronts[index].conn = Some(conn);
                 self.fronts[index].reader = FrameReader::new(MAX_MESSAGE);
@@ -625,7 +702,7 @@
                 Some(Owner::Feed(node)) if self.feeds[usize::from(node)].conn == Some(conn) => {
                     self.feeds[usize::from(node)].conn = None;
                 }
-                Some(Owner::Feed(_)) | None => {}
+                Some(Owner::Feed(_) | Owner::Witness) | None => {}
             },
             Event::Message(_) => {}
         }
@@ -676,8 +753,32 @@
                     self.front_message(now, index, conn, &frame);
                 }
             }
-            Some(Owner::Feed(_)) | None => {}
+            Some(Owner::Feed(_) | Owner::Witness) | None => {}
+        }
+    }
+
+    /// Which certificate a node showed in a handshake; who it was stands in it where a stand-in was dialled.
+    fn shown(&mut self, conn: u64, node: Option<u16>) {
+        let Some(validity) = self.net.peer_certificate(conn).and_then(|der| validity_of(&der)) else {
+            return;
+        };
+        let named = || self.net.peer_names(conn)?.iter().find_map(|name| crate::server::number_in(name));
+        if let Some(node) = node.or_else(named) {
+            self.records.push(Record::Handshake { at: self.now(), node, wall: wall(), validity });
+        }
+    }
+
+    /// Dials a node, with TLS where the day has it.
+    fn dial_node(&mut self, tag: u64, node: u16, identity: Option<Identity>) {
+        // At the end of a day the nodes are gone.
+        let Some(address) = self.nodes.get(usize::from(node)).map(|node| node.address()) else { return };
+        if let (Some(tls), Some(identity)) = (&self.tls, identity) {
+            let name = ServerName::try_from(format!("node-{node}.lab"));
+            if let (Ok(config), Ok(name)) = (tls.credentials.client(&identity), name) {
+                self.net.dial_with_tls(tag, name, config, HANDSHAKE);
+            }
         }
+        self.net.dial(address, tag, Duration::from_secs(1));
     }
 
     /// Carries out what a server asked for. What a silent server or a dead link would send never leaves.
@@ -761,13 +862,20 @@
         let now = self.now();
         let mut outputs = Vec::new();
         self.fronts[index].peer.handle(now, input, &mut outputs);
-        let mut deliver = false;
+        let (mut deliver, mut back) = (false, false);
         for output in outputs {
             match output {
                 PeerOutput::Dial => {
-                    let address = self.nodes[usize::from(self.fronts[index].node)].address();
-                    self.net.dial(address, TAG_FRONT + index as u64, Duration::from_secs(1));
+                    let identity = self.tls.as_ref().map(|tls| tls.fronts[index].clone());
+                    self.dial_node(TAG_FRONT + index as u64, self.fronts[index].node, identity);
+                }
+                PeerOutput::Open(conn, _) => {
+                    // What was not answered before is asked again, as a repeat (RFC 6733 section 5.5.4).
+                    for bytes in self.fronts[index].repeats() {
+                        self.front_send(index, conn.0, bytes);
+                    }
                 }
+                PeerOutput::Down(DownReason::Disconnected) => back = true,
                 PeerOutput::StopDial => self.net.stop_dial(TAG_FRONT + index as u64),
                 PeerOutput::Send(conn, bytes) => self.front_send(index, conn.0, bytes),
                 PeerOutput::Close(conn) => {
@@ -783,6 +891,9 @@
                 _ => {}
             }
         }
+        if back && self.rehandshaking {
+            self.tell_front(index, PeerInput::Start);
+        }
         deliver
     }
 
@@ -899,8 +1010,7 @@
             }
             return;
         }
-        let Some(Sent::SetUp(id, number)) = self.fronts[index].requests.finish(message.header.hop_by_hop)
-        else {
+        let Some(Sent::SetUp(id, number)) = self.fronts[index].finish(message.header.hop_by_hop) else {
             return;
         };
         let session = message.text(d::SESSION_ID).unwrap_or_default();
@@ -1053,6 +1163,15 @@
                     self.half_frame(index);
                 }
             }
+            TroubleKind::AuthorityAway => self.authority(|credentials| credentials.away(true)),
+            TroubleKind::AuthorityRefuses => self.authority(|credentials| credentials.refuse(true)),
+            TroubleKind::Rehandshake => {
+                self.rehandshaking = true;
+                for front in 0..self.fronts.len() {
+                    let at = now + self.rng.random_range(0..trouble.length.0.max(1));
+                    self.at(at, Tick::Rehandshake(front));
+                }
+            }
         }
     }
 
@@ -1107,7 +1226,15 @@
                     self.perform(index, out);
                 }
             }
-            TroubleKind::Drain | TroubleKind::Dpr | TroubleKind::Stall => {}
+            TroubleKind::AuthorityAway => self.authority(|credentials| credentials.away(false)),
+            TroubleKind::AuthorityRefuses => self.authority(|credentials| credentials.refuse(false)),
+            TroubleKind::Drain | TroubleKind::Dpr | TroubleKind::Stall | TroubleKind::Rehandshake => {}
+        }
+    }
+
+    fn authority(&self, act: impl FnOnce(&Credentials)) {
+        if let Some(tls) = &self.tls {
+            act(&tls.credentials);
         }
     }
 
@@ -1182,7 +1309,7 @@
         let seed = self.rng.random();
         let mut server = Server::new(spec(&self.day, number, place, listener.local_addr()?), seed);
         server.restart(now);
-        self.net.listen(listener, number as u64)?;
+        listen(&mut self.net, self.tls.as_ref(), number, &server.host, listener)?;
         self.servers.push(server);
         self.in_place[place] = number;
         self.started(now, number);
@@ -1190,6 +1317,21 @@
     }
 }
 
+/// A stand-in server's listener, with TLS where the day has it.
+fn listen(
+    net: &mut Net<LabMessage>,
+    tls: Option<&Tls>,
+    number: usize,
+    host: &str,
+    listener: TcpListener,
+) -> std::io::Result<()> {
+    if let Some(tls) = tls {
+        let config = tls.credentials.server(host).map_err(std::io::Error::other)?;
+        net.listen_with_tls(number as u64, config, HANDSHAKES, HANDSHAKE);
+    }
+    net.listen(listener, number as u64)
+}
+
 fn entry(server: &Server, state: Listed) -> Entry {
     Entry {
         server: server.spec.number,
--- a/crates/lemoncleat-node/tests/gaps.rs
+++ b/crates/lemoncleat-node/tests/gaps.rs
@@ -127,7 +127,10 @@
     let (stood, failed): (Vec<&Got>, Vec<&Got>) =
         answers.iter().partition(|got| got.result() == code::SUCCESS);
     assert_eq!(stood.len(), waiting, "each caller that waits has its success");
-    assert!(stood.iter().chain(&failed).all(|got| number_of(got).is_multiple_of(2)), "and nobody else anything");
+    assert!(
+        stood.iter().chain(&failed).all(|got| number_of(got).is_multiple_of(2)),
+        "and nobody else anything"
+    );
     let strs =
         |bench: &mut Bench, conn| calls_only(bench.take(conn)).iter().filter(|g| g.name() == "STR").count();
     let released: usize = servers.iter().map(|server| strs(&mut bench, *server)).sum();
--- a/crates/lemoncleat-wirehost/src/wire.rs
+++ b/crates/lemoncleat-wirehost/src/wire.rs
@@ -436,7 +436,7 @@
 }
 
 fn from_hex(text: &str) -> Option<Vec<u8>> {
-    if text.len() % 2 != 0 || !text.is_ascii() {
+    if !text.len().is_multiple_of(2) || !text.is_ascii() {
         return None;
     }
     (0..text.len()).step_by(2).map(|at| u8::from_str_radix(text.get(at..at + 2)?, 16).ok()).collect()
