--- a/crates/lemoncleat-cli/src/args.rs
+++ b/crates/lemoncleat-cli/src/args.rs
@@ -246,6 +246,8 @@
     Up(UpArgs),
     /// Play dual seizure by selection order and load: a table and a plot.
     Glare(GlareArgs),
+    /// Play a fleet's renewals over months: a table and a plot.
+    Renewals(RenewalsArgs),
     /// Measure a node against a bare relay on the same drivers, in one run.
     Measure(MeasureArgs),
 }
@@ -288,6 +290,19 @@
     pub plot: Option<PathBuf>,
 }
 
+#[derive(ClapArgs)]
+pub struct RenewalsArgs {
+    /// Nodes of the fleet.
+    #[arg(long, default_value_t = 1_000)]
+    pub nodes: u64,
+    /// Seed of the fleet's nodes.
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// Write the plot (SVG).
+    #[arg(long, value_name = "FILE")]
+    pub plot: Option<PathBuf>,
+}
+
 #[derive(ClapArgs)]
 pub struct MeasureArgs {
     /// How long each measurement takes.
--- a/crates/lemoncleat-cli/src/cert.rs
+++ b/crates/lemoncleat-cli/src/cert.rs
@@ -127,6 +127,9 @@
     let limit = settings.try_time + Duration::from_secs(30);
     let (sender, events) = mpsc::channel();
     let keeper = Keeper::start(settings, move |event| drop(sender.send(event))).map_err(Failure::Failed)?;
+    if let Some(address) = keeper.challenge_address() {
+        println!("challenges on {address}");
+    }
     keeper.renew_now();
     loop {
         match events.recv_timeout(limit) {
--- a/crates/lemoncleat-cli/src/main.rs
+++ b/crates/lemoncleat-cli/src/main.rs
@@ -9,6 +9,7 @@
 mod measure;
 mod node;
 mod rehearse;
+mod renewals;
 
 use std::process::ExitCode;
 
@@ -44,6 +45,7 @@
         Command::Lab(args) => match args.command {
             args::LabCommand::Up(args) => lab::up(&args),
             args::LabCommand::Glare(args) => glare::run(&args),
+            args::LabCommand::Renewals(args) => renewals::run(&args),
             args::LabCommand::Measure(args) => measure::run(&args),
         },
     };
--- a/crates/lemoncleat-cli/tests/whole_path.rs
+++ b/crates/lemoncleat-cli/tests/whole_path.rs
@@ -61,3 +61,21 @@
     assert!(verdict.glares > 10 && verdict.circuits.0 > 150, "the ends met: {shown}");
     assert_eq!((done.circuits_in_use, done.left_standing), (0, 0), "{shown}");
 }
+
+#[test]
+fn certificates_are_renewed_under_load_and_none_is_ever_shown_past_its_time() {
+    let mut day = builtin("renewals-short").expect("a built-in day");
+    day.answer_margin.0 = 200_000;
+    let start = |text: &str| start_node(text).map(|node| Box::new(node) as Box<dyn NodeControl>);
+    let done = rehearse(&day, &start, &mut |_| {}).expect("the rehearsal comes about");
+    let verdict = judge(&done.capture).expect("the capture has its facts");
+    let shown = table(&verdict, TableOptions::default());
+    assert!(verdict.kept(), "{shown}");
+    let told = verdict.handshakes.expect("there was TLS");
+    assert_eq!((told.not_valid, told.refused, verdict.cut), (0, 0, 0), "{shown}");
+    assert!(told.certificates >= 4 && told.handshakes > 50, "each node renewed: {shown}");
+    assert!(verdict.stood * 10 >= verdict.tries * 9, "{shown}");
+    let (issued, complaints) = done.certificates.expect("an authority");
+    assert!(issued >= told.certificates, "{issued} issued: {shown}");
+    assert_eq!(complaints, [""; 0]);
+}
--- a/crates/lemoncleat-lab/src/lib.rs
+++ b/crates/lemoncleat-lab/src/lib.rs
@@ -20,6 +20,7 @@
 mod load;
 mod processor;
 mod relay;
+mod renewals;
 mod report;
 mod script;
 mod server;
@@ -28,15 +29,16 @@
 pub use bench_day::{bench_day, BenchDay, BenchDayError};
 pub use capture::{Capture, CaptureError, ClassFacts, End, Facts, Record};
 pub use day::{
-    builtin, builtin_names, CallerDay, CircuitDay, ClassDay, Day, ListDay, ProcessorDay, ServerDay, Trouble,
-    TroubleKind,
+    builtin, builtin_names, CallerDay, CertificateDay, CircuitDay, ClassDay, Day, ListDay, ProcessorDay,
+    ServerDay, Trouble, TroubleKind,
 };
 pub use echo::Echo;
 pub use glare::{glare_run, GlareResult, GlareRun};
-pub use judge::{judge, Rule, RuleVerdict, TroubleRow, Verdict, Violation};
+pub use judge::{judge, Handshakes, Rule, RuleVerdict, TroubleRow, Verdict, Violation};
 pub use load::{load, saturate, LoadReport, LoadSettings};
 pub use processor::{Job, Processor, ProcessorSettings};
 pub use relay::{spawn_relay, Relay};
+pub use renewals::{fleet_run, FleetPlan, FleetResult, FleetRun};
 pub use report::{table, TableOptions};
 pub use script::node_settings;
 pub use world::{lab_up, rehearse, LabMessage, NodeControl, Rehearsal, RehearseError, StartNode};
