--- a/crates/lemoncleat-cli/src/args.rs
+++ b/crates/lemoncleat-cli/src/args.rs
@@ -57,7 +57,7 @@
 
 #[derive(ClapArgs)]
 pub struct RehearseArgs {
-    /// A built-in day (payday, glare, renewals, calm, short, renewals-short) or the file of a script.
+    /// A built-in day (payday, glare, renewals, renewals-hard, calm, short and others) or the file of a script.
     #[arg(default_value = "payday", conflicts_with = "bench_day")]
     pub day: String,
     /// A day of the operators' bench, as JSON, in place of a script.
--- a/crates/lemoncleat-cli/src/lab.rs
+++ b/crates/lemoncleat-cli/src/lab.rs
@@ -79,6 +79,7 @@
         length: args.length.0,
         patience: args.patience.0,
         seed: args.seed,
+        tls: Vec::new(),
     };
     let bar = ProgressBar::new(100).with_style(
         ProgressStyle::with_template("{bar:40} {percent}% {msg}")
--- a/crates/lemoncleat-lab/src/credentials.rs
+++ b/crates/lemoncleat-lab/src/credentials.rs
@@ -18,7 +18,8 @@
 pub(crate) const HANDSHAKES: usize = 256;
 pub(crate) const HANDSHAKE: std::time::Duration = std::time::Duration::from_secs(5);
 
-pub(crate) struct Credentials {
+/// An authority on loopback, and certificates by it for stand-ins and nodes.
+pub struct Credentials {
     host: Host,
     folder: PathBuf,
     authorities: Authorities,
@@ -31,6 +32,11 @@
 }
 
 impl Credentials {
+    /// Starts the authority.
+    ///
+    /// # Errors
+    ///
+    /// When no port, key or folder is to be had.
     pub fn new(day: &CertificateDay, seed: u64) -> Result<Credentials, String> {
         let settings = AuthoritySettings {
             base: String::new(),
@@ -59,6 +65,11 @@
         Identity::from_pem(&format!("{key}{chain}")).map_err(|error| error.to_string())
     }
 
+    /// The configuration of a stand-in's listener.
+    ///
+    /// # Errors
+    ///
+    /// When its certificate can't be made.
     pub fn server(&self, name: &str) -> Result<Arc<ServerConfig>, String> {
         let config = server_config(Some(self.identity(name)?), &self.authorities, MinVersion::Tls13);
         config.map_err(|error| error.to_string())
@@ -66,16 +77,44 @@
 
     /// A configuration of its own for each dial: nothing is taken up from an earlier one, so that every handshake
     /// shows a certificate.
+    ///
+    /// # Errors
+    ///
+    /// When the identity is of no use.
     pub fn client(&self, identity: &Identity) -> Result<Arc<ClientConfig>, String> {
         let config = client_config(Some(identity.clone()), &self.authorities, MinVersion::Tls13);
         config.map_err(|error| error.to_string())
     }
 
+    /// Who a stand-in is when it dials.
+    ///
+    /// # Errors
+    ///
+    /// When its certificate can't be made.
     pub fn client_identity(&self, name: &str) -> Result<Identity, String> {
         self.identity(name)
     }
 
-    /// A node's form for TLS.
+    /// A node's form for TLS with files that nobody renews.
+    ///
+    /// # Errors
+    ///
+    /// When they can't be made or written.
+    pub fn node_with_files(&self, name: &str) -> Result<String, String> {
+        let now = wall();
+        let names = [name.to_owned()];
+        let (chain, key) = self.host.authority().issue_plainly(&names, (now - LONG, now + LONG))?;
+        let folder = self.folder.display();
+        for (end, text) in [("pem", chain), ("key", key)] {
+            let file = self.folder.join(format!("{name}.{end}"));
+            std::fs::write(&file, text).map_err(|error| format!("{}: {error}", file.display()))?;
+        }
+        Ok(format!(
+            "(tls (authorities \"{folder}/roots.pem\") (certificate \"{folder}/{name}.pem\") (key \"{folder}/{name}.key\"))"
+        ))
+    }
+
+    /// A node's form for TLS with certificates by ACME.
     pub fn node(&self, node: u16) -> String {
         let CertificateDay { renew_at, challenge, .. } = &self.day;
         format!(
@@ -88,16 +127,16 @@
     }
 
     /// Where a node's name is to be looked for.
-    pub fn place(&self, node: u16, address: SocketAddr, challenge: Option<SocketAddr>) {
+    pub(crate) fn place(&self, node: u16, address: SocketAddr, challenge: Option<SocketAddr>) {
         self.host.place(&format!("node-{node}.lab"), Found { http: challenge, tls: Some(address) });
     }
 
-    pub fn away(&self, away: bool) {
+    pub(crate) fn away(&self, away: bool) {
         self.host.set_away(away);
     }
 
     /// Refusals partway: at every other step for good, so that the order is dead.
-    pub fn refuse(&self, on: bool) {
+    pub(crate) fn refuse(&self, on: bool) {
         let stages =
             [Stage::NewOrder, Stage::Authorization, Stage::Challenge, Stage::Finalize, Stage::Download];
         let refusal = |(index, stage): (usize, &Stage)| match index % 2 {
@@ -109,7 +148,7 @@
     }
 
     /// Certificates that the authority issued to nodes, and what nodes did that no client may do.
-    pub fn told(&self) -> (usize, Vec<String>) {
+    pub(crate) fn told(&self) -> (usize, Vec<String>) {
         let authority = self.host.authority();
         (authority.issued().len(), authority.complaints().to_vec())
     }
--- a/crates/lemoncleat-lab/src/day.rs
+++ b/crates/lemoncleat-lab/src/day.rs
@@ -467,6 +467,7 @@
     ("short", include_str!("../days/short.lisp")),
     ("glare", include_str!("../days/glare.lisp")),
     ("renewals", include_str!("../days/renewals.lisp")),
+    ("renewals-hard", include_str!("../days/renewals-hard.lisp")),
     ("renewals-short", include_str!("../days/renewals-short.lisp")),
 ];
 
--- a/crates/lemoncleat-lab/src/echo.rs
+++ b/crates/lemoncleat-lab/src/echo.rs
@@ -11,8 +11,9 @@
     result_code, Backoff, ConnId, FrameReader, Local, MessageBuilder, MessageRef, Peer, PeerInput,
     PeerOutput, PeerSettings,
 };
-use lemoncleat_net::{Event, Mailbox, Net};
+use lemoncleat_net::{Event, Mailbox, Net, ServerConfig};
 
+use crate::credentials::{HANDSHAKE, HANDSHAKES};
 use crate::server::MAX_MESSAGE;
 
 /// A server on a thread of its own that answers at once.
@@ -26,12 +27,12 @@
 }
 
 impl Echo {
-    /// Starts one.
+    /// Starts one; with a configuration it speaks TLS.
     ///
     /// # Errors
     ///
     /// When no socket or thread is to be had.
-    pub fn spawn(host: &str) -> std::io::Result<Echo> {
+    pub fn spawn(host: &str, tls: Option<Arc<ServerConfig>>) -> std::io::Result<Echo> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
         let (sender, receiver) = mpsc::channel();
@@ -39,6 +40,9 @@
         let thread = std::thread::Builder::new().name("echo".to_owned()).spawn(move || {
             lemoncleat_net::run(async |mut net: Net<()>| {
                 let _ = sender.send(net.sender());
+                if let Some(config) = tls {
+                    net.listen_with_tls(0, config, HANDSHAKES, HANDSHAKE);
+                }
                 if net.listen(listener, 0).is_ok() {
                     serve(net, &name).await;
                 }
--- a/crates/lemoncleat-lab/src/lib.rs
+++ b/crates/lemoncleat-lab/src/lib.rs
@@ -28,6 +28,7 @@
 
 pub use bench_day::{bench_day, BenchDay, BenchDayError};
 pub use capture::{Capture, CaptureError, ClassFacts, End, Facts, Record};
+pub use credentials::Credentials;
 pub use day::{
     builtin, builtin_names, CallerDay, CertificateDay, CircuitDay, ClassDay, Day, ListDay, ProcessorDay,
     ServerDay, Trouble, TroubleKind,
@@ -43,5 +44,7 @@
 pub use script::node_settings;
 pub use world::{lab_up, rehearse, LabMessage, NodeControl, Rehearsal, RehearseError, StartNode};
 
+pub use lemoncleat_net::ClientConfig;
+
 /// A span or a moment in microseconds.
 pub type Micros = i64;
--- a/crates/lemoncleat-lab/src/load.rs
+++ b/crates/lemoncleat-lab/src/load.rs
@@ -14,7 +14,7 @@
     result_code, Backoff, ConnId, FrameReader, Local, MessageBuilder, MessageRef, Peer, PeerInput,
     PeerOutput, PeerSettings,
 };
-use lemoncleat_net::{Event, Net};
+use lemoncleat_net::{ClientConfig, Event, Net, ServerName};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use serde::Serialize;
@@ -47,6 +47,8 @@
     pub patience: Micros,
     /// Seed of the arrivals.
     pub seed: u64,
+    /// How each connection speaks TLS, in the order of the clients; none for plain.
+    pub tls: Vec<Arc<ClientConfig>>,
 }
 
 /// What the load tool saw. Times are in microseconds; they count after the ramp only.
@@ -190,7 +192,13 @@
         let mut deliver = false;
         for output in outputs {
             match output {
-                PeerOutput::Dial => self.net.dial(self.settings.address, line as u64, Duration::from_secs(2)),
+                PeerOutput::Dial => {
+                    let name = ServerName::try_from(self.settings.node.clone());
+                    if let (Some(config), Ok(name)) = (self.settings.tls.get(line), name) {
+                        self.net.dial_with_tls(line as u64, name, config.clone(), Duration::from_secs(2));
+                    }
+                    self.net.dial(self.settings.address, line as u64, Duration::from_secs(2));
+                }
                 PeerOutput::Send(conn, bytes) => self.net.send(conn.0, &bytes),
                 PeerOutput::Close(conn) => self.net.close(conn.0),
                 PeerOutput::Deliver => deliver = true,
