The laboratory's world without sockets: one script engine for two hosts

Need: the simulator wants the very stand-ins, callers, list and troubles that rehearsals play, without sockets or a clock of their own.

Change: World is generic over a Wire that carries its connections and tells the time; rehearse.rs hosts it on sockets and holds all that waits. The judge can be told record by record (LiveJudge) and says at which a rule is first broken. Moved, not copied; a malformed set-up of a server is answered through the door for answers like any other.

--- a/crates/lemoncleat-lab/src/judge.rs
+++ b/crates/lemoncleat-lab/src/judge.rs
@@ -217,8 +217,8 @@
     broken: bool,
 }
 
-struct Judge<'a> {
-    facts: &'a Facts,
+struct Judge {
+    facts: Facts,
     tallies: [Tally; 5],
     tries: Vec<Try>,
     by_request: HashMap<(String, u32), usize>,
@@ -253,40 +253,89 @@
     end: Micros,
 }
 
+impl Judge {
+    fn new(facts: Facts) -> Judge {
+        Judge {
+            facts,
+            tallies: Default::default(),
+            tries: Vec::new(),
+            by_request: HashMap::new(),
+            by_session: HashMap::new(),
+            chains: Vec::new(),
+            by_caller: HashMap::new(),
+            sessions: HashMap::new(),
+            conn_sessions: HashMap::new(),
+            told: HashMap::new(),
+            cold: HashMap::new(),
+            informed: HashMap::new(),
+            carried: HashMap::new(),
+            seizures: HashMap::new(),
+            circuit_cases: 0,
+            circuit_shared: Vec::new(),
+            glares: 0,
+            stalls: Vec::new(),
+            handshakes: Handshakes::default(),
+            seen: BTreeSet::new(),
+            behind: Vec::new(),
+            troubles: BTreeMap::new(),
+            attempts: 0,
+            stood: 0,
+            turned_away: 0,
+            cut: 0,
+            late: 0,
+            fallen: 0,
+            end: Micros::MAX,
+        }
+    }
+
+    fn broken_so_far(&self) -> usize {
+        self.tallies.iter().map(|tally| tally.broken.len()).sum::<usize>() + self.circuit_shared.len()
+    }
+}
+
+/// A judge that is told each record as it comes, and says at which a rule is first broken.
+pub struct LiveJudge {
+    judge: Judge,
+    number: usize,
+    last: Micros,
+}
+
+impl LiveJudge {
+    /// A judge of a day with these facts.
+    pub fn new(facts: &Facts) -> LiveJudge {
+        LiveJudge { judge: Judge::new(facts.clone()), number: 0, last: 0 }
+    }
+
+    /// Takes a record in; what it breaks.
+    pub fn take(&mut self, record: &Record) -> Option<(Option<Rule>, Violation)> {
+        let before = self.judge.broken_so_far();
+        self.last = record.at().max(self.last);
+        self.judge.record(self.number, record);
+        self.number += 1;
+        if self.judge.broken_so_far() == before {
+            return None;
+        }
+        let newest = Rule::ALL.iter().filter_map(|rule| {
+            let violation = self.judge.tallies[*rule as usize].broken.last()?;
+            Some((Some(*rule), violation.clone()))
+        });
+        let shared = self.judge.circuit_shared.last().map(|violation| (None, violation.clone()));
+        newest.chain(shared).max_by_key(|(_, violation)| violation.records.last().copied())
+    }
+
+    /// All that was seen, at the end.
+    pub fn verdict(mut self) -> Verdict {
+        if self.judge.end == Micros::MAX {
+            self.judge.end = self.last;
+        }
+        self.judge.verdict()
+    }
+}
+
 /// Judges a capture; `None` if it begins without its facts.
 pub fn judge(capture: &Capture) -> Option<Verdict> {
     let Some(Record::Facts(facts)) = capture.records.first() else { return None };
-    let mut judge = Judge {
-        facts,
-        tallies: Default::default(),
-        tries: Vec::new(),
-        by_request: HashMap::new(),
-        by_session: HashMap::new(),
-        chains: Vec::new(),
-        by_caller: HashMap::new(),
-        sessions: HashMap::new(),
-        conn_sessions: HashMap::new(),
-        told: HashMap::new(),
-        cold: HashMap::new(),
-        informed: HashMap::new(),
-        carried: HashMap::new(),
-        seizures: HashMap::new(),
-        circuit_cases: 0,
-        circuit_shared: Vec::new(),
-        glares: 0,
-        stalls: Vec::new(),
-        handshakes: Handshakes::default(),
-        seen: BTreeSet::new(),
-        behind: Vec::new(),
-        troubles: BTreeMap::new(),
-        attempts: 0,
-        stood: 0,
-        turned_away: 0,
-        cut: 0,
-        late: 0,
-        fallen: 0,
-        end: Micros::MAX,
-    };
+    let mut judge = Judge::new(facts.clone());
     let mut last = 0;
     for (number, record) in capture.records.iter().enumerate() {
         last = record.at().max(last);
@@ -303,7 +352,7 @@
     Some(verdict)
 }
 
-impl Judge<'_> {
+impl Judge {
     fn case(&mut self, rule: Rule, at: Micros) {
         self.tallies[rule as usize].cases.push(at);
     }
--- a/crates/lemoncleat-lab/src/lib.rs
+++ b/crates/lemoncleat-lab/src/lib.rs
@@ -19,11 +19,13 @@
 mod list;
 mod load;
 mod processor;
+mod rehearse;
 mod relay;
 mod renewals;
 mod report;
 mod script;
 mod server;
+mod wire;
 mod world;
 
 pub use bench_day::{bench_day, BenchDay, BenchDayError};
@@ -35,14 +37,16 @@
 };
 pub use echo::Echo;
 pub use glare::{glare_run, GlareResult, GlareRun};
-pub use judge::{judge, Handshakes, Rule, RuleVerdict, TroubleRow, Verdict, Violation};
+pub use judge::{judge, Handshakes, LiveJudge, Rule, RuleVerdict, TroubleRow, Verdict, Violation};
 pub use load::{load, saturate, LoadReport, LoadSettings};
 pub use processor::{Job, Processor, ProcessorSettings};
+pub use rehearse::{lab_up, rehearse, LabReady, Rehearsal};
 pub use relay::{spawn_relay, Relay};
 pub use renewals::{fleet_run, FleetPlan, FleetResult, FleetRun};
 pub use report::{table, TableOptions};
 pub use script::node_settings;
-pub use world::{lab_up, rehearse, LabMessage, NodeControl, Rehearsal, RehearseError, StartNode};
+pub use wire::Wire;
+pub use world::{LabMessage, NodeControl, RehearseError, StartNode, World};
 
 pub use lemoncleat_net::ClientConfig;
 
--- a/crates/lemoncleat-lab/src/server.rs
+++ b/crates/lemoncleat-lab/src/server.rs
@@ -22,6 +22,11 @@
 /// How often what its answers tell of its load is refreshed.
 const REPORT_EVERY: Micros = 250_000;
 
+/// The name of a stand-in server.
+pub(crate) fn host(number: u16) -> String {
+    format!("server-{number}.lab")
+}
+
 /// The number in a stand-in's or node's name, as in `node-2.lab`.
 pub(crate) fn number_in(host: &str) -> Option<u16> {
     host.strip_suffix(".lab")?.rsplit('-').next()?.parse().ok()
@@ -101,7 +106,7 @@
 impl Server {
     pub fn new(spec: ServerSpec, seed: u64) -> Self {
         Server {
-            host: format!("server-{}.lab", spec.number),
+            host: host(spec.number),
             started: None,
             up: true,
             silent: false,
--- a/crates/lemoncleat-lab/src/world.rs
+++ b/crates/lemoncleat-lab/src/world.rs
@@ -2,8 +2,8 @@
 
 use std::collections::{BinaryHeap, HashMap};
 use std::fmt;
-use std::net::{SocketAddr, TcpListener};
-use std::time::{Duration, Instant};
+use std::net::SocketAddr;
+use std::time::Duration;
 
 use lemoncleat_authority::validity_of;
 use lemoncleat_diameter::dictionary as d;
@@ -11,18 +11,19 @@
     result_code, ConnId, DisconnectCause, DownReason, FrameReader, MessageBuilder, MessageRef, PeerInput,
     PeerOutput,
 };
-use lemoncleat_net::{Event, Identity, Net, ServerName};
+use lemoncleat_net::{Event, Identity, ServerName};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
 use crate::caller::{Caller, CallerState, Front, Sent, SetUp};
-use crate::capture::{Capture, ClassFacts, End, Facts, Record};
-use crate::credentials::{wall, Credentials, HANDSHAKE, HANDSHAKES};
+use crate::capture::{ClassFacts, End, Facts, Record};
+use crate::credentials::{wall, Credentials};
 use crate::day::{Day, Trouble, TroubleKind};
 use crate::list::{Entry, Feed, Listed};
 use crate::processor::{Processor, ProcessorSettings};
 use crate::script::node_settings;
-use crate::server::{Server, ServerOutput, ServerSpec, MAX_MESSAGE};
+use crate::server::{host as server_host, Server, ServerOutput, ServerSpec, MAX_MESSAGE};
+use crate::wire::Wire;
 use crate::Micros;
 
 /// How often peers look at the clock.
@@ -30,12 +31,6 @@
 /// How often the loop looks whether it gets its turns, and how late it may be before it says so.
 const BEAT: Micros = 5_000;
 const BEHIND: Micros = 5_000;
-/// How long connections may take to come about at the start.
-const OPEN_WITHIN: Duration = Duration::from_secs(20);
-/// How long the ends of trunk groups may take to agree after the last call: two rounds of audits and a reset.
-const SETTLE_WITHIN: Micros = 15_000_000;
-/// How long nodes may take to stop at the end.
-const STOP_WITHIN: Micros = 5_000_000;
 /// Moments of two stand-ins are this near: both are read by the one loop.
 const SKEW: Micros = 15_000;
 /// Rule 1: how long past the deadline an answer still counts, as on the operators' bench.
@@ -90,23 +85,6 @@
     }
 }
 
-/// What a rehearsal left.
-#[derive(Debug)]
-pub struct Rehearsal {
-    /// All that crossed the sockets.
-    pub capture: Capture,
-    /// Calls that still stood at servers when every caller had hung up: lost there.
-    pub left_standing: usize,
-    /// How long it took, in microseconds.
-    pub took: Micros,
-    /// Calls of servers that came to stand.
-    pub far_stood: u64,
-    /// Circuits still in use at servers when every caller had hung up.
-    pub circuits_in_use: u32,
-    /// Certificates that the authority issued to nodes, and what nodes did there that no client may do.
-    pub certificates: Option<(usize, Vec<String>)>,
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Tick {
     Arrival,
@@ -167,17 +145,6 @@
 const TAG_FRONT: u64 = 1 << 33;
 const TAG_WITNESS: u64 = 1 << 34;
 
-/// A laboratory that is up.
-#[derive(Clone, Debug)]
-pub struct LabReady {
-    /// Where the nodes listen.
-    pub nodes: Vec<SocketAddr>,
-    /// Their control ports, where they have one.
-    pub controls: Vec<SocketAddr>,
-    /// The Origin-Hosts of the stand-in servers.
-    pub servers: Vec<String>,
-}
-
 /// What may be told to a laboratory that is up.
 #[derive(Debug)]
 pub enum LabMessage {
@@ -188,8 +155,8 @@
 }
 
 /// TLS of a rehearsal, with the identities of those who dial nodes.
-struct Tls {
-    credentials: Credentials,
+pub(crate) struct Tls {
+    pub credentials: Credentials,
     fronts: Vec<Identity>,
     witness: Identity,
 }
@@ -205,116 +172,64 @@
     }
 }
 
-struct World {
-    day: Day,
-    net: Net<LabMessage>,
-    tls: Option<Tls>,
-    start: Instant,
+/// The laboratory around some access nodes, on whatever carries its connections.
+pub struct World<W> {
+    pub(crate) day: Day,
+    pub(crate) wire: W,
+    pub(crate) tls: Option<Tls>,
     /// When arrivals began.
-    zero: Micros,
+    pub(crate) zero: Micros,
     due: BinaryHeap<Due>,
     order: u64,
     rng: SmallRng,
-    records: Vec<Record>,
+    pub(crate) records: Vec<Record>,
     owners: HashMap<u64, Owner>,
-    servers: Vec<Server>,
+    pub(crate) servers: Vec<Server>,
     /// For each server of the script, the one in its place now.
     in_place: Vec<usize>,
-    fronts: Vec<Front>,
+    pub(crate) fronts: Vec<Front>,
     feeds: Vec<Feed>,
     pending: Vec<Vec<Entry>>,
     feed_gone: bool,
     list_lag: Micros,
-    callers: Vec<Caller>,
+    pub(crate) callers: Vec<Caller>,
     surge: f64,
     fashion: usize,
-    nodes: Vec<Box<dyn NodeControl>>,
+    pub(crate) nodes: Vec<Box<dyn NodeControl>>,
     next_id: u32,
     cutting: bool,
-    rehandshaking: bool,
-    far_stood: u64,
-    in_use_at_end: u32,
-}
-
-/// Plays a day. Nodes are started by `start` from their settings; `progress` hears the part that is over,
-/// from 0 to 1.
-///
-/// # Errors
-///
-/// When sockets fail, a node does not start, or connections don't come about.
-pub fn rehearse(
-    day: &Day,
-    start: StartNode<'_>,
-    progress: &mut dyn FnMut(f64),
-) -> Result<Rehearsal, RehearseError> {
-    lemoncleat_net::run(async |net| {
-        let mut world = World::build(day.clone(), net, start, &[])?;
-        world.open().await?;
-        world.play(progress).await;
-        Ok(world.finish().await)
-    })
-}
-
-/// Keeps a laboratory up: one or more nodes with stand-ins, for clients from outside under the names given.
-/// `ready` hears where everything is, and gets a way to end it.
-///
-/// # Errors
-///
-/// As [`rehearse`].
-pub fn lab_up(
-    day: &Day,
-    start: StartNode<'_>,
-    clients: &[String],
-    ready: impl FnOnce(&LabReady, lemoncleat_net::Mailbox<LabMessage>),
-) -> Result<(), RehearseError> {
-    lemoncleat_net::run(async |net| {
-        let mut day = day.clone();
-        day.fronts = 0;
-        day.troubles.clear();
-        let mut world = World::build(day, net, start, clients)?;
-        world.open().await?;
-        let told = LabReady {
-            nodes: world.nodes.iter().map(|node| node.address()).collect(),
-            controls: world.nodes.iter().filter_map(|node| node.control()).collect(),
-            servers: world.servers.iter().map(|server| server.host.clone()).collect(),
-        };
-        ready(&told, world.net.sender());
-        while world.turn().await {
-            world.records.clear();
-        }
-        world.finish().await;
-        Ok(())
-    })
+    pub(crate) rehandshaking: bool,
+    pub(crate) far_stood: u64,
+    pub(crate) in_use_at_end: u32,
 }
 
-impl World {
-    fn build(
+impl<W: Wire> World<W> {
+    /// The stand-ins of a day, with nodes that are started from their settings.
+    ///
+    /// # Errors
+    ///
+    /// When an address is not to be had or a node does not start.
+    pub fn build(
         day: Day,
-        mut net: Net<LabMessage>,
+        mut wire: W,
         start: StartNode<'_>,
         clients: &[String],
-    ) -> Result<World, RehearseError> {
+    ) -> Result<World<W>, RehearseError> {
         let mut rng = SmallRng::seed_from_u64(day.seed);
         let mut servers = Vec::new();
-        let mut listeners = Vec::new();
-        for number in 0..day.servers.len() {
-            let listener = TcpListener::bind("127.0.0.1:0")?;
-            servers.push(Server::new(spec(&day, number, number, listener.local_addr()?), rng.random()));
-            listeners.push(listener);
-        }
+        let seeds: Vec<u64> = (0..day.servers.len()).map(|_| rng.random()).collect();
         let fronts: Vec<Front> = (0..day.nodes * day.fronts)
             .map(|number| Front::new(number, number % day.nodes, rng.random()))
             .collect();
         let tls = Tls::new(&day, &fronts).map_err(RehearseError::Certificates)?;
-        for (number, listener) in listeners.into_iter().enumerate() {
-            listen(&mut net, tls.as_ref(), number, &servers[number].host, listener)?;
+        for (number, seed) in seeds.into_iter().enumerate() {
+            let address = listen(&mut wire, tls.as_ref(), number)?;
+            servers.push(Server::new(spec(&day, number, number, address), seed));
         }
         let mut nodes = Vec::new();
         let mut feeds = Vec::new();
         for node in 0..day.nodes {
-            let listener = TcpListener::bind("127.0.0.1:0")?;
-            let address = listener.local_addr()?;
-            net.listen(listener, TAG_FEED + u64::from(node))?;
+            let address = wire.listen(TAG_FEED + u64::from(node), None)?;
             let mut feed = Feed::default();
             for server in &servers {
                 feed.view.insert(server.spec.number, entry(server, Listed::Ready));
@@ -356,9 +271,8 @@
         let in_place = (0..servers.len()).collect();
         let pending = vec![Vec::new(); feeds.len()];
         Ok(World {
-            net,
+            wire,
             tls,
-            start: Instant::now(),
             zero: 0,
             due: BinaryHeap::new(),
             order: 0,
@@ -385,8 +299,8 @@
         })
     }
 
-    fn now(&self) -> Micros {
-        self.start.elapsed().as_micros() as Micros
+    pub(crate) fn now(&self) -> Micros {
+        self.wire.now()
     }
 
     fn at(&mut self, at: Micros, tick: Tick) {
@@ -394,34 +308,29 @@
         self.due.push(Due { at, order: self.order, tick });
     }
 
-    // ---- The course of a rehearsal ----
+    // ---- The course of a day ----
 
-    /// Waits until every front-end and every server has its connections with the nodes.
-    async fn open(&mut self) -> Result<(), RehearseError> {
+    /// Front-ends begin to dial; the day's clock does not run yet.
+    pub fn connect(&mut self) {
         let now = self.now();
         self.at(now, Tick::Peers);
         for index in 0..self.fronts.len() {
             self.tell_front(index, PeerInput::Start);
         }
-        let limit = Instant::now() + OPEN_WITHIN;
-        loop {
-            self.turn().await;
-            let fronts = self.fronts.iter().filter(|front| front.open().is_none()).count();
-            let open = |server: &Server| {
-                server.conns.values().filter(|c| c.peer.as_ref().is_some_and(|peer| peer.is_open())).count()
-            };
-            let servers = self.servers.iter().filter(|s| open(s) < usize::from(self.day.nodes)).count();
-            if fronts + servers == 0 {
-                return Ok(());
-            }
-            if Instant::now() > limit {
-                let why = format!("{fronts} front-ends and {servers} servers still wait");
-                return Err(RehearseError::NotOpen(why));
-            }
-        }
     }
 
-    async fn play(&mut self, progress: &mut dyn FnMut(f64)) {
+    /// Front-ends and servers that still wait for connections with the nodes.
+    pub fn unconnected(&self) -> (usize, usize) {
+        let fronts = self.fronts.iter().filter(|front| front.open().is_none()).count();
+        let open = |server: &Server| {
+            server.conns.values().filter(|c| c.peer.as_ref().is_some_and(|peer| peer.is_open())).count()
+        };
+        let servers = self.servers.iter().filter(|s| open(s) < usize::from(self.day.nodes)).count();
+        (fronts, servers)
+    }
+
+    /// The day begins: calls arrive from now on, troubles come at their moments. How long it lasts.
+    pub fn begin_day(&mut self) -> Micros {
         self.zero = self.now();
         let zero = self.zero;
         self.at(zero, Tick::Arrival);
@@ -440,112 +349,24 @@
                 self.at(zero, Tick::Witness(node));
             }
         }
-        let length = self.day.length.0;
-        let last = length + self.day.tail.0;
+        let last = self.day.length.0 + self.day.tail.0;
         self.at(zero + last, Tick::Last);
-        let mut told = 0;
-        while self.turn().await {
-            let part = (self.now() - zero) * 100 / last;
-            if part != told {
-                told = part;
-                progress(part as f64 / 100.0);
-            }
-        }
-    }
-
-    /// Everybody hangs up; how many circuits stay in use although both ends had time to agree?
-    async fn settle_circuits(&mut self) {
-        if self.day.circuits.is_none() {
-            return;
-        }
-        let now = self.now();
-        for id in 0..self.callers.len() {
-            if let CallerState::Standing(front, session) = self.callers[id].state.clone() {
-                self.release(usize::from(front), &session);
-                self.callers[id].state = CallerState::Done;
-            }
-        }
-        for index in 0..self.servers.len() {
-            for node in 0..self.day.nodes {
-                self.far(now, index, node, |trunk, far| trunk.hang_up_all(now, far));
-            }
-        }
-        let limit = now + SETTLE_WITHIN;
-        loop {
-            self.turn().await;
-            let trunks =
-                self.servers.iter().filter(|server| server.up).flat_map(|server| server.trunks.values());
-            self.in_use_at_end = trunks.map(crate::far::FarTrunk::in_use).sum();
-            if self.in_use_at_end == 0 || self.now() > limit {
-                return;
-            }
-        }
-    }
-
-    async fn finish(mut self) -> Rehearsal {
-        self.settle_circuits().await;
-        let at = self.now();
-        self.records.push(Record::End { at });
-        let sender = self.net.sender();
-        let count = self.nodes.len();
-        let mut threads = Vec::new();
-        for node in self.nodes.drain(..) {
-            let sender = sender.clone();
-            threads.push(std::thread::spawn(move || {
-                node.stop();
-                let _ = sender.send_blocking(LabMessage::NodeEnded);
-            }));
-        }
-        let mut ended = 0;
-        let limit = at + STOP_WITHIN;
-        while ended < count && self.now() < limit {
-            let until = self.start + Duration::from_micros(limit as u64);
-            match self.net.next(Some(until)).await {
-                Some(Event::Message(LabMessage::NodeEnded)) => ended += 1,
-                Some(event) => self.event(event),
-                None => {}
-            }
-            self.net.flush();
-        }
-        if ended == count {
-            for thread in threads {
-                let _ = thread.join();
-            }
-        }
-        let left_standing = self.servers.iter().filter(|server| server.up).map(Server::standing).sum();
-        let (far_stood, circuits_in_use) = (self.far_stood, self.in_use_at_end);
-        Rehearsal {
-            certificates: self.tls.as_ref().map(|tls| tls.credentials.told()),
-            far_stood,
-            circuits_in_use,
-            capture: Capture { records: self.records },
-            left_standing,
-            took: at,
-        }
+        last
     }
 
-    /// Waits for what comes next and handles it; `false` at the end.
-    async fn turn(&mut self) -> bool {
-        let processors = self.servers.iter().filter_map(|server| server.spec.processor.due()).min();
+    /// When [`World::advance`] is due.
+    pub fn due(&self) -> Option<Micros> {
+        let working = self.servers.iter().filter(|server| server.up && !server.fallen);
+        let processors = working.filter_map(|server| server.spec.processor.due()).min();
         let first = self.due.peek().map(|due| due.at);
-        let until = match (processors, first) {
+        match (processors, first) {
             (Some(a), Some(b)) => Some(a.min(b)),
             (a, b) => a.or(b),
-        };
-        let until = until.map(|at| self.start + Duration::from_micros(at.max(0) as u64));
-        if let Some(event) = self.net.next(until).await {
-            if matches!(event, Event::Message(LabMessage::Stop)) {
-                return false;
-            }
-            self.event(event);
-            for _ in 0..256 {
-                match self.net.try_next() {
-                    Some(Event::Message(LabMessage::Stop)) => return false,
-                    Some(event) => self.event(event),
-                    None => break,
-                }
-            }
         }
+    }
+
+    /// Does all that is due; `false` once the day is over.
+    pub fn advance(&mut self) -> bool {
         let now = self.now();
         for index in 0..self.servers.len() {
             let mut out = Vec::new();
@@ -564,10 +385,41 @@
             }
             self.tick(due.tick);
         }
-        self.net.flush();
         true
     }
 
+    /// Everybody hangs up.
+    pub(crate) fn hang_up_all(&mut self) {
+        let now = self.now();
+        for id in 0..self.callers.len() {
+            if let CallerState::Standing(front, session) = self.callers[id].state.clone() {
+                self.release(usize::from(front), &session);
+                self.callers[id].state = CallerState::Done;
+            }
+        }
+        for index in 0..self.servers.len() {
+            for node in 0..self.day.nodes {
+                self.far(now, index, node, |trunk, far| trunk.hang_up_all(now, far));
+            }
+        }
+    }
+
+    /// Circuits in use at servers that are up.
+    pub(crate) fn circuits_in_use(&self) -> u32 {
+        let trunks = self.servers.iter().filter(|server| server.up).flat_map(|server| server.trunks.values());
+        trunks.map(crate::far::FarTrunk::in_use).sum()
+    }
+
+    /// Calls that stand at servers that are up.
+    pub fn standing(&self) -> usize {
+        self.servers.iter().filter(|server| server.up).map(Server::standing).sum()
+    }
+
+    /// What was recorded since the last time.
+    pub fn take_records(&mut self) -> Vec<Record> {
+        std::mem::take(&mut self.records)
+    }
+
     fn tick(&mut self, tick: Tick) {
         let now = self.now();
         match tick {
@@ -641,13 +493,14 @@
 
     // ---- Connections ----
 
-    fn event(&mut self, event: Event<LabMessage>) {
+    /// Something happened on a connection.
+    pub fn event(&mut self, event: Event<LabMessage>) {
         let now = self.now();
         match event {
             Event::Accepted { tag, conn } if tag >= TAG_FEED => {
                 let node = (tag - TAG_FEED) as u16;
                 if self.feed_gone {
-                    return self.net.close(conn);
+                    return self.wire.close(conn);
                 }
                 self.owners.insert(conn, Owner::Feed(node));
                 self.feeds[usize::from(node)].conn = Some(conn);
@@ -656,13 +509,13 @@
                 for entry in &told {
                     self.listed(now, node, entry);
                 }
-                self.net.send(conn, &line);
+                self.wire.send(conn, &line);
             }
             Event::Accepted { tag, conn } => {
                 let index = tag as usize;
                 self.shown(conn, None);
                 if !self.servers[index].up || self.servers[index].fallen {
-                    return self.net.abort(conn);
+                    return self.wire.abort(conn);
                 }
                 self.owners.insert(conn, Owner::Server(index));
                 self.servers[index].accept(conn);
@@ -671,7 +524,7 @@
                 self.shown(conn, Some((tag - TAG_WITNESS) as u16));
                 // It has seen what it came for.
                 self.owners.insert(conn, Owner::Witness);
-                self.net.close(conn);
+                self.wire.close(conn);
             }
             Event::DialFailed { tag } if tag >= TAG_WITNESS => {
                 let node = (tag - TAG_WITNESS) as u16;
@@ -759,10 +612,10 @@
 
     /// Which certificate a node showed in a handshake; who it was stands in it where a stand-in was dialled.
     fn shown(&mut self, conn: u64, node: Option<u16>) {
-        let Some(validity) = self.net.peer_certificate(conn).and_then(|der| validity_of(&der)) else {
+        let Some(validity) = self.wire.peer_certificate(conn).and_then(|der| validity_of(&der)) else {
             return;
         };
-        let named = || self.net.peer_names(conn)?.iter().find_map(|name| crate::server::number_in(name));
+        let named = || self.wire.peer_names(conn)?.iter().find_map(|name| crate::server::number_in(name));
         if let Some(node) = node.or_else(named) {
             self.records.push(Record::Handshake { at: self.now(), node, wall: wall(), validity });
         }
@@ -772,13 +625,11 @@
     fn dial_node(&mut self, tag: u64, node: u16, identity: Option<Identity>) {
         // At the end of a day the nodes are gone.
         let Some(address) = self.nodes.get(usize::from(node)).map(|node| node.address()) else { return };
-        if let (Some(tls), Some(identity)) = (&self.tls, identity) {
-            let name = ServerName::try_from(format!("node-{node}.lab"));
-            if let (Ok(config), Ok(name)) = (tls.credentials.client(&identity), name) {
-                self.net.dial_with_tls(tag, name, config, HANDSHAKE);
-            }
-        }
-        self.net.dial(address, tag, Duration::from_secs(1));
+        let tls = self.tls.as_ref().zip(identity).and_then(|(tls, identity)| {
+            let name = ServerName::try_from(format!("node-{node}.lab")).ok()?;
+            Some((name, tls.credentials.client(&identity).ok()?))
+        });
+        self.wire.dial(address, tag, tls);
     }
 
     /// Carries out what a server asked for. What a silent server or a dead link would send never leaves.
@@ -792,14 +643,14 @@
                         continue;
                     };
                     if self.servers[index].reachable(node) {
-                        self.net.send(conn, &bytes);
+                        self.wire.send(conn, &bytes);
                         self.records.push(Record::Frame { at: now, end, node, conn, to_node: true, bytes });
                     }
                 }
                 ServerOutput::Close(conn) => {
                     self.records.push(Record::Closed { at: now, end, conn });
                     self.owners.remove(&conn);
-                    self.net.close(conn);
+                    self.wire.close(conn);
                     self.servers[index].closed(now, conn);
                 }
                 ServerOutput::FarStands(node, call) => {
@@ -827,7 +678,7 @@
         for conn in self.servers[index].stop() {
             self.records.push(Record::Closed { at: now, end, conn });
             self.owners.remove(&conn);
-            self.net.abort(conn);
+            self.wire.abort(conn);
         }
     }
 
@@ -876,7 +727,7 @@
                     }
                 }
                 PeerOutput::Down(DownReason::Disconnected) => back = true,
-                PeerOutput::StopDial => self.net.stop_dial(TAG_FRONT + index as u64),
+                PeerOutput::StopDial => self.wire.stop_dial(TAG_FRONT + index as u64),
                 PeerOutput::Send(conn, bytes) => self.front_send(index, conn.0, bytes),
                 PeerOutput::Close(conn) => {
                     self.records.push(Record::Closed {
@@ -885,7 +736,7 @@
                         conn: conn.0,
                     });
                     self.owners.remove(&conn.0);
-                    self.net.close(conn.0);
+                    self.wire.close(conn.0);
                 }
                 PeerOutput::Deliver => deliver = true,
                 _ => {}
@@ -899,7 +750,7 @@
 
     fn front_send(&mut self, index: usize, conn: u64, bytes: Vec<u8>) {
         let at = self.now();
-        self.net.send(conn, &bytes);
+        self.wire.send(conn, &bytes);
         let (end, node) = (End::Client(index as u16), self.fronts[index].node);
         self.records.push(Record::Frame { at, end, node, conn, to_node: true, bytes });
     }
@@ -1082,7 +933,7 @@
         let entry = self.pending[index].remove(0);
         let line = self.feeds[index].change(now, entry.clone());
         if let Some(conn) = self.feeds[index].conn {
-            self.net.send(conn, &line);
+            self.wire.send(conn, &line);
             self.listed(now, node, &entry);
         }
     }
@@ -1151,7 +1002,7 @@
                 for node in 0..self.feeds.len() {
                     if let Some(conn) = self.feeds[node].conn.take() {
                         self.owners.remove(&conn);
-                        self.net.close(conn);
+                        self.wire.close(conn);
                     }
                 }
             }
@@ -1183,7 +1034,7 @@
             .build();
         let conns: Vec<u64> = self.servers[index].conns.keys().copied().collect();
         for conn in conns {
-            self.net.send(conn, &whole[..whole.len() / 2]);
+            self.wire.send(conn, &whole[..whole.len() / 2]);
         }
         self.servers[index].silent = true;
     }
@@ -1293,7 +1144,7 @@
         let mut out = Vec::new();
         self.servers[old].cut_share(now, 1.0, &mut out);
         self.perform(old, out);
-        self.net.flush();
+        self.wire.flush();
         self.kill(old);
         self.announce(now, old, Listed::Gone);
         if let Ok(new) = self.replace(now, place) {
@@ -1304,12 +1155,11 @@
 
     /// A fresh server in a place.
     fn replace(&mut self, now: Micros, place: usize) -> std::io::Result<usize> {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
         let number = self.servers.len();
         let seed = self.rng.random();
-        let mut server = Server::new(spec(&self.day, number, place, listener.local_addr()?), seed);
+        let address = listen(&mut self.wire, self.tls.as_ref(), number)?;
+        let mut server = Server::new(spec(&self.day, number, place, address), seed);
         server.restart(now);
-        listen(&mut self.net, self.tls.as_ref(), number, &server.host, listener)?;
         self.servers.push(server);
         self.in_place[place] = number;
         self.started(now, number);
@@ -1318,18 +1168,9 @@
 }
 
 /// A stand-in server's listener, with TLS where the day has it.
-fn listen(
-    net: &mut Net<LabMessage>,
-    tls: Option<&Tls>,
-    number: usize,
-    host: &str,
-    listener: TcpListener,
-) -> std::io::Result<()> {
-    if let Some(tls) = tls {
-        let config = tls.credentials.server(host).map_err(std::io::Error::other)?;
-        net.listen_with_tls(number as u64, config, HANDSHAKES, HANDSHAKE);
-    }
-    net.listen(listener, number as u64)
+fn listen(wire: &mut impl Wire, tls: Option<&Tls>, number: usize) -> std::io::Result<SocketAddr> {
+    let config = tls.map(|tls| tls.credentials.server(&server_host(number as u16))).transpose();
+    wire.listen(number as u64, config.map_err(std::io::Error::other)?)
 }
 
 fn entry(server: &Server, state: Listed) -> Entry {
--- a/crates/lemoncleat-node/src/node/trunks.rs
+++ b/crates/lemoncleat-node/src/node/trunks.rs
@@ -509,7 +509,8 @@
         let Some(request) = request else {
             let answer = MessageBuilder::answer(message, code::UNABLE_TO_COMPLY);
             let answer = self.local.sign(answer).build();
-            return self.send(conn, answer);
+            self.answer_set_up(conn, deadline, answer);
+            return;
         };
         // Tokens of seizures and of the rest are two kinds of identifier, which may happen to be one number: a
         // seizure that waits keeps its place.
