--- a/crates/lemoncleat-cli/src/args.rs
+++ b/crates/lemoncleat-cli/src/args.rs
@@ -27,6 +27,8 @@
     /// The nodes are real, call servers, callers and list are stand-ins of the project. The judge reads only
     /// what crossed the sockets.
     Rehearse(RehearseArgs),
+    /// Play whole days under a virtual clock, one a seed, with every rule judged at every step.
+    Simulate(SimulateArgs),
     /// Judge a capture that a rehearsal wrote.
     Judge(JudgeArgs),
     /// Offer calls to a running node at a steady rate and measure set-up times.
@@ -86,6 +88,40 @@
     pub log: Option<String>,
 }
 
+#[derive(ClapArgs)]
+pub struct SimulateArgs {
+    /// Seeds to play, as FIRST..END (END is not played).
+    #[arg(long, default_value = "0..1000", value_parser = seeds, conflicts_with = "seed")]
+    pub seeds: (u64, u64),
+    /// Threads; by default as many as there are processors.
+    #[arg(long)]
+    pub jobs: Option<usize>,
+    /// Begin no seed after so many minutes.
+    #[arg(long, default_value_t = 60.0)]
+    pub minutes: f64,
+    /// Play one seed and tell what it drew and came to.
+    #[arg(long)]
+    pub seed: Option<u64>,
+    /// Print every record of that seed.
+    #[arg(long, requires = "seed")]
+    pub trace: bool,
+    /// Look for a smaller run that shows the same.
+    #[arg(long, requires = "seed")]
+    pub shrink: bool,
+}
+
+/// Two numbers with `..` between.
+fn seeds(text: &str) -> Result<(u64, u64), String> {
+    let (first, end) = text.split_once("..").ok_or("expected FIRST..END")?;
+    let number = |text: &str| text.parse::<u64>().map_err(|_| format!("{text:?} is no number"));
+    let (first, end) = (number(first)?, number(end)?);
+    if first < end {
+        Ok((first, end))
+    } else {
+        Err("expected FIRST below END".to_owned())
+    }
+}
+
 #[derive(ClapArgs)]
 pub struct JudgeArgs {
     /// The capture.
--- a/crates/lemoncleat-cli/src/main.rs
+++ b/crates/lemoncleat-cli/src/main.rs
@@ -10,6 +10,7 @@
 mod node;
 mod rehearse;
 mod renewals;
+mod simulate;
 
 use std::process::ExitCode;
 
@@ -38,6 +39,7 @@
         Command::Node(args) => node::run(&args),
         Command::Check(args) => node::check(&args),
         Command::Rehearse(args) => rehearse::run(&args),
+        Command::Simulate(args) => simulate::run(&args),
         Command::Judge(args) => rehearse::judge_file(&args),
         Command::Load(args) => lab::load(&args),
         Command::Circuits(args) => circuits::run(&args),
--- /dev/null
+++ b/crates/lemoncleat-cli/src/simulate.rs
@@ -0,0 +1,163 @@
+//! `lemoncleat simulate`.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc;
+use std::time::Instant;
+
+use indicatif::{ProgressBar, ProgressStyle};
+use lemoncleat_lab::{Record, Rule};
+use lemoncleat_simulate::{shrink, simulate, Finding, Outcome, Scenario};
+
+use crate::args::SimulateArgs;
+use crate::Failure;
+
+/// Most runs that shrinking takes.
+const SHRINK: u32 = 400;
+/// Findings that are listed.
+const LISTED: usize = 20;
+
+pub fn run(args: &SimulateArgs) -> Result<(), Failure> {
+    match args.seed {
+        Some(seed) => one(seed, args),
+        None => many(args),
+    }
+}
+
+fn describe(scenario: &Scenario) {
+    let day = &scenario.day;
+    println!(
+        "seed {}: {} nodes, {} servers, {:.0} calls/s for {}, links {} to {} us, circuits {}",
+        scenario.seed,
+        day.nodes,
+        day.servers.len(),
+        day.rate.0,
+        day.length,
+        scenario.delay.0,
+        scenario.delay.0 + scenario.delay.1,
+        day.circuits.as_ref().map_or("none".to_owned(), |circuits| circuits.size.to_string())
+    );
+    for trouble in &day.troubles {
+        println!("  {:>9} for {:>9}  {} (node {})", trouble.at, trouble.length, trouble.text(), trouble.node);
+    }
+    for link in &scenario.links {
+        let seconds = |at: i64| at as f64 / 1e6;
+        println!(
+            "  {:>8.3}s to {:>7.3}s  {:?} {:?} of node {}",
+            seconds(link.from),
+            seconds(link.until),
+            link.kind,
+            link.side,
+            link.node
+        );
+    }
+}
+
+fn finding(outcome: &Outcome) {
+    let Some((step, finding)) = &outcome.finding else { return };
+    match finding {
+        Finding::Broken(rule, violation) => {
+            let rule = rule.map_or("a circuit shared".to_owned(), |rule| format!("rule {}", rule.number()));
+            println!("{rule} BROKEN at step {step}: {}: {}", violation.what, violation.how);
+            violation.frames.iter().for_each(|frame| println!("    {frame}"));
+        }
+        Finding::Left(what) | Finding::Stuck(what) => println!("FOUND at step {step}: {what}"),
+    }
+    println!("what came last:");
+    outcome.tail.iter().for_each(|line| println!("    {line}"));
+}
+
+fn one(seed: u64, args: &SimulateArgs) -> Result<(), Failure> {
+    let scenario = Scenario::draw(seed);
+    describe(&scenario);
+    let mut told = |record: &Record| println!("{}", record.text());
+    let outcome =
+        simulate(&scenario, if args.trace { Some(&mut told) } else { None }).map_err(Failure::Failed)?;
+    println!(
+        "{} steps, {:.1} s of virtual time, digest {:016x}",
+        outcome.steps,
+        outcome.time as f64 / 1e6,
+        outcome.digest
+    );
+    finding(&outcome);
+    if outcome.finding.is_none() {
+        return Ok(());
+    }
+    if args.shrink {
+        let (smaller, runs) = shrink(&scenario, SHRINK);
+        println!("after {runs} runs the smallest that shows the same:");
+        describe(&smaller);
+        finding(&simulate(&smaller, None).map_err(Failure::Failed)?);
+    }
+    Err(Failure::Told)
+}
+
+fn many(args: &SimulateArgs) -> Result<(), Failure> {
+    let (first, end) = args.seeds;
+    let jobs = args.jobs.or_else(|| std::thread::available_parallelism().ok().map(usize::from)).unwrap_or(1);
+    let start = Instant::now();
+    let next = AtomicU64::new(first);
+    let (sender, outcomes) = mpsc::channel();
+    let bar = ProgressBar::new(end - first).with_style(
+        ProgressStyle::with_template("{bar:40} {pos}/{len} {elapsed}")
+            .unwrap_or_else(|_| ProgressStyle::default_bar()),
+    );
+    let (mut played, mut steps, mut time, mut calls) = (0_u64, 0_u64, 0.0, 0_usize);
+    let mut cases = [0_usize; 5];
+    let mut found = BTreeMap::new();
+    std::thread::scope(|scope| -> Result<(), Failure> {
+        for _ in 0..jobs.max(1) {
+            let (sender, next) = (sender.clone(), &next);
+            scope.spawn(move || loop {
+                let seed = next.fetch_add(1, Ordering::Relaxed);
+                let late = start.elapsed().as_secs_f64() > args.minutes * 60.0;
+                if seed >= end || late {
+                    return;
+                }
+                if sender.send((seed, simulate(&Scenario::draw(seed), None))).is_err() {
+                    return;
+                }
+            });
+        }
+        drop(sender);
+        for (seed, outcome) in outcomes {
+            let outcome = outcome.map_err(|why| Failure::Failed(format!("seed {seed}: {why}")))?;
+            bar.inc(1);
+            played += 1;
+            steps += outcome.steps;
+            time += outcome.time as f64 / 1e6;
+            if let Some(verdict) = &outcome.verdict {
+                calls += verdict.tries;
+                for rule in Rule::ALL {
+                    cases[rule as usize] += verdict.rules[rule as usize].cases;
+                }
+            }
+            if let Some((step, finding)) = outcome.finding {
+                found.insert(seed, (step, finding));
+            }
+        }
+        Ok(())
+    })?;
+    bar.finish_and_clear();
+    let took = start.elapsed().as_secs_f64();
+    println!(
+        "{played} seeds, {calls} calls, {steps} steps, {time:.0} s of virtual time in {took:.1} s: {:.0} seeds a minute, \
+         {:.0} times as fast as real time",
+        played as f64 * 60.0 / took,
+        time / took
+    );
+    println!("cases of rules 1 to 5: {cases:?}");
+    for (seed, (step, finding)) in found.iter().take(LISTED) {
+        let what = match finding {
+            Finding::Broken(_, violation) => format!("{}: {}", violation.what, violation.how),
+            Finding::Left(what) | Finding::Stuck(what) => what.clone(),
+        };
+        println!("seed {seed}, step {step}: {}: {what}", finding.kind());
+    }
+    if found.is_empty() {
+        println!("every rule kept, nothing left over");
+        return Ok(());
+    }
+    println!("{} SEEDS FOUND SOMETHING; play one with --seed N --shrink", found.len());
+    Err(Failure::Told)
+}
--- a/crates/lemoncleat-lab/src/caller.rs
+++ b/crates/lemoncleat-lab/src/caller.rs
@@ -20,7 +20,7 @@
     pub reader: FrameReader,
     /// Callers whose request is out, by hop-by-hop identifier.
     pub requests: HopByHop<Sent>,
-    /// The set-ups among them, as they were sent.
+    /// They, as they were sent.
     pub unanswered: BTreeMap<u32, Vec<u8>>,
 }
 
@@ -91,19 +91,21 @@
         bytes
     }
 
-    /// The set-ups that were not answered, marked as repeats: for a connection that takes the place of another.
-    pub fn repeats(&mut self) -> Vec<Vec<u8>> {
-        let marked = |bytes: &Vec<u8>| {
+    /// The requests that were not answered, marked as repeats: for a connection that takes the place of another.
+    pub fn repeats(&mut self) -> Vec<(u32, Sent, Vec<u8>)> {
+        let mut all = Vec::new();
+        for (hop_by_hop, bytes) in &self.unanswered {
+            let Some(sent) = self.requests.get_mut(*hop_by_hop) else { continue };
             let mut bytes = bytes.clone();
             if let Some(flags) = bytes.get_mut(4) {
                 *flags |= RETRANSMITTED;
             }
-            bytes
-        };
-        self.unanswered.values().map(marked).collect()
+            all.push((*hop_by_hop, *sent, bytes));
+        }
+        all
     }
 
-    /// A set-up was answered, or its caller waits no more.
+    /// A request was answered.
     pub fn finish(&mut self, hop_by_hop: u32) -> Option<Sent> {
         self.unanswered.remove(&hop_by_hop);
         self.requests.finish(hop_by_hop)
@@ -112,14 +114,17 @@
     /// A release.
     pub fn release(&mut self, session: &str) -> Vec<u8> {
         let hop_by_hop = self.requests.begin(Sent::Release);
-        MessageBuilder::request(d::CMD_SESSION_TERMINATION, d::APP_NAS, true, hop_by_hop, hop_by_hop)
-            .add_str(d::SESSION_ID, session)
-            .add_str(d::ORIGIN_HOST, &self.host)
-            .add_str(d::ORIGIN_REALM, "lab")
-            .add_str(d::DESTINATION_REALM, "lab")
-            .add_u32(d::AUTH_APPLICATION_ID, d::APP_NAS)
-            .add_u32(d::TERMINATION_CAUSE, 1)
-            .build()
+        let request =
+            MessageBuilder::request(d::CMD_SESSION_TERMINATION, d::APP_NAS, true, hop_by_hop, hop_by_hop)
+                .add_str(d::SESSION_ID, session)
+                .add_str(d::ORIGIN_HOST, &self.host)
+                .add_str(d::ORIGIN_REALM, "lab")
+                .add_str(d::DESTINATION_REALM, "lab")
+                .add_u32(d::AUTH_APPLICATION_ID, d::APP_NAS)
+                .add_u32(d::TERMINATION_CAUSE, 1);
+        let bytes = request.build();
+        self.unanswered.insert(hop_by_hop, bytes.clone());
+        bytes
     }
 }
 
--- a/crates/lemoncleat-lab/src/judge.rs
+++ b/crates/lemoncleat-lab/src/judge.rs
@@ -625,6 +625,8 @@
             }
             (d::CMD_SESSION_TERMINATION | d::CMD_ABORT_SESSION, true) => {
                 self.carried.retain(|(on, to, _), held| (*on, *to) != (node, server) || held != session);
+                // A success that crosses the release carries nothing any more.
+                self.seizures.retain(|(on, _), (_, held)| *on != conn || held != session);
             }
             (d::CMD_CIRCUITS, true) if message.number(d::CIRCUIT_OPERATION) == Some(1) => {
                 let first = message.number(d::CIRCUIT_ID).unwrap_or(0);
@@ -637,6 +639,26 @@
         }
     }
 
+    /// A server seizes a circuit that it controls: a seizure of the node's that is out on it is disregarded there, and
+    /// the call may be sent again at once. Of two ends, the one whose name comes later controls the even circuits.
+    fn yielded(&mut self, server: u16, node: u16, conn: u64, message: &MessageRef<'_>) {
+        let Some(circuit) = message.number(d::CIRCUIT_ID) else { return };
+        let even = format!("server-{server}.lab") > format!("node-{node}.lab");
+        if circuit.is_multiple_of(2) != even {
+            return;
+        }
+        for ((on, hop), (seized, session)) in &self.seizures {
+            if (*on, *seized) != (conn, circuit) {
+                continue;
+            }
+            if let Some(state) = self.sessions.get_mut(session) {
+                if state.out.is_some_and(|(_, out_on, out_hop, _)| (out_on, out_hop) == (conn, *hop)) {
+                    state.out = None;
+                }
+            }
+        }
+    }
+
     #[allow(clippy::too_many_arguments)]
     fn server_frame(
         &mut self,
@@ -652,6 +674,7 @@
         self.circuit_frame(number, at, server, node, conn, message);
         match (message.header.command, message.header.is_request(), to_node) {
             (d::CMD_AA, true, false) => self.attempted(number, at, server, node, conn, message),
+            (d::CMD_AA, true, true) => self.yielded(server, node, conn, message),
             (d::CMD_AA, false, true) => {
                 let success = message.result_code() == result_code::SUCCESS;
                 let Some(state) = self.sessions.get_mut(session) else { return };
--- a/crates/lemoncleat-lab/src/world.rs
+++ b/crates/lemoncleat-lab/src/world.rs
@@ -389,7 +389,7 @@
     }
 
     /// Everybody hangs up.
-    pub(crate) fn hang_up_all(&mut self) {
+    pub fn hang_up_all(&mut self) {
         let now = self.now();
         for id in 0..self.callers.len() {
             if let CallerState::Standing(front, session) = self.callers[id].state.clone() {
@@ -405,11 +405,17 @@
     }
 
     /// Circuits in use at servers that are up.
-    pub(crate) fn circuits_in_use(&self) -> u32 {
+    pub fn circuits_in_use(&self) -> u32 {
         let trunks = self.servers.iter().filter(|server| server.up).flat_map(|server| server.trunks.values());
         trunks.map(crate::far::FarTrunk::in_use).sum()
     }
 
+    /// The front-end that dials under a tag.
+    pub fn front_of(&self, tag: u64) -> Option<u16> {
+        let number = u16::try_from(tag.checked_sub(TAG_FRONT)?).ok()?;
+        (usize::from(number) < self.fronts.len()).then_some(number)
+    }
+
     /// Calls that stand at servers that are up.
     pub fn standing(&self) -> usize {
         self.servers.iter().filter(|server| server.up).map(Server::standing).sum()
@@ -721,9 +727,20 @@
                     self.dial_node(TAG_FRONT + index as u64, self.fronts[index].node, identity);
                 }
                 PeerOutput::Open(conn, _) => {
-                    // What was not answered before is asked again, as a repeat (RFC 6733 section 5.5.4).
-                    for bytes in self.fronts[index].repeats() {
-                        self.front_send(index, conn.0, bytes);
+                    // What was not answered before is asked again, as a repeat (RFC 6733 section 5.5.4). Where nobody
+                    // waits any more, the call may stand all the same: it is released.
+                    for (hop_by_hop, sent, bytes) in self.fronts[index].repeats() {
+                        match sent {
+                            Sent::SetUp(id, number) if !self.waits(id, number) => {
+                                let session = MessageRef::parse(&bytes)
+                                    .ok()
+                                    .and_then(|request| request.text(d::SESSION_ID).map(str::to_owned));
+                                self.fronts[index].finish(hop_by_hop);
+                                let release = session.map(|session| self.fronts[index].release(&session));
+                                release.into_iter().for_each(|bytes| self.front_send(index, conn.0, bytes));
+                            }
+                            _ => self.front_send(index, conn.0, bytes),
+                        }
                     }
                 }
                 PeerOutput::Down(DownReason::Disconnected) => back = true,
@@ -748,6 +765,12 @@
         deliver
     }
 
+    /// Whether a caller still waits for the answer to one of its tries.
+    fn waits(&self, id: usize, number: u32) -> bool {
+        let caller = &self.callers[id];
+        caller.tries == number && matches!(caller.state, CallerState::Trying(..))
+    }
+
     fn front_send(&mut self, index: usize, conn: u64, bytes: Vec<u8>) {
         let at = self.now();
         self.wire.send(conn, &bytes);
@@ -836,10 +859,12 @@
         }
     }
 
+    /// A caller hangs up. While the front-end has no connection its release is kept, as what was not answered is.
     fn release(&mut self, front: usize, session: &str) {
-        let Some(conn) = self.fronts[front].open() else { return };
         let bytes = self.fronts[front].release(session);
-        self.front_send(front, conn, bytes);
+        if let Some(conn) = self.fronts[front].open() {
+            self.front_send(front, conn, bytes);
+        }
     }
 
     fn front_message(&mut self, now: Micros, index: usize, conn: u64, bytes: &[u8]) {
--- a/crates/lemoncleat-node/src/lib.rs
+++ b/crates/lemoncleat-node/src/lib.rs
@@ -27,4 +27,5 @@
 pub use lemoncleat_circuits as circuits;
 pub use wheel::{TimerKey, Wheel};
 
-pub use lemoncleat_diameter::{Backoff, ConnId, Micros, WATCHDOG_FLOOR};
+pub use lemoncleat::Availability;
+pub use lemoncleat_diameter::{Backoff, ConnId, FrameReader, Micros, WATCHDOG_FLOOR};
