--- a/crates/lemoncleat-lab/src/server.rs
+++ b/crates/lemoncleat-lab/src/server.rs
@@ -145,6 +145,14 @@
         self.sessions.values().filter(|session| session.standing).count()
     }
 
+    /// The names of calls that stand, in order.
+    pub fn standing_names(&self) -> Vec<String> {
+        let standing = self.sessions.values().filter(|session| session.standing);
+        let mut names: Vec<String> = standing.map(|session| session.name.clone()).collect();
+        names.sort();
+        names
+    }
+
     pub fn accept(&mut self, conn: u64) {
         let reader = FrameReader::new(MAX_MESSAGE);
         self.conns.insert(conn, ServerConn { reader, peer: None, node: u16::MAX });
--- a/crates/lemoncleat-lab/src/world.rs
+++ b/crates/lemoncleat-lab/src/world.rs
@@ -410,6 +410,12 @@
         trunks.map(crate::far::FarTrunk::in_use).sum()
     }
 
+    /// Calls that stand at servers that are up: which, at which server.
+    pub fn standing_calls(&self) -> Vec<(String, String)> {
+        let up = self.servers.iter().filter(|server| server.up);
+        up.flat_map(|s| s.standing_names().into_iter().map(|name| (s.host.clone(), name))).collect()
+    }
+
     /// The front-end that dials under a tag.
     pub fn front_of(&self, tag: u64) -> Option<u16> {
         let number = u16::try_from(tag.checked_sub(TAG_FRONT)?).ok()?;
