A server listed again while its connection was being ended was never dialled anew

A late line of the list said that a server was gone, the node sent DPR, and the next line, that it was there again, came before the DPA. The node began a peer only when it was idle, and the peer's end was one from this side, after which it does not dial: no node ever connected to that server again.

Change: a node tells a peer to start with every line that says ready; a peer that is being ended remembers it, one that waits to dial is left to its wait.

A test of the core.

--- a/crates/lemoncleat-diameter/src/peer.rs
+++ b/crates/lemoncleat-diameter/src/peer.rs
@@ -175,7 +175,7 @@
 /// What a peer is told.
 #[derive(Clone, Copy, Debug)]
 pub enum PeerInput<'a> {
-    /// Begin to dial, or forget that the peer asked not to be.
+    /// Begin to dial, if nothing is under way; after an end that was asked for, dial again.
     Start,
     /// The dialled connection stands.
     Dialled(ConnId),
@@ -451,8 +451,9 @@
     pub fn handle(&mut self, now: Micros, input: PeerInput<'_>, out: &mut Vec<PeerOutput>) {
         match input {
             PeerInput::Start => {
+                // While a connection is being ended it is enough that the end leads to a new one.
                 self.stopped = false;
-                if self.state == State::Closed && self.settings.dial {
+                if self.state == State::Closed && self.settings.dial && self.dial_at.is_none() {
                     self.failures = 0;
                     self.dial(now, out);
                 }
--- a/crates/lemoncleat-lab/src/far.rs
+++ b/crates/lemoncleat-lab/src/far.rs
@@ -1,6 +1,6 @@
 //! The far end of a trunk group: a stand-in server's circuits toward one node, and its own calls on them.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 use lemoncleat_circuits::audit::Audits;
 use lemoncleat_circuits::glare::{after_yield, Control, Next, Repeats};
@@ -38,12 +38,12 @@
     host: String,
     sent: HopByHop<Sent>,
     /// Requests of the node that wait for their answer.
-    arriving: HashMap<Token, Vec<u8>>,
+    arriving: BTreeMap<Token, Vec<u8>>,
     /// Sessions of calls of this end (true) and of the node's.
-    sessions: HashMap<(bool, CallRef), String>,
-    refs: HashMap<String, CallRef>,
-    circuits: HashMap<CallRef, CircuitId>,
-    own: HashMap<CallRef, (Option<CircuitId>, u32)>,
+    sessions: BTreeMap<(bool, CallRef), String>,
+    refs: BTreeMap<String, CallRef>,
+    circuits: BTreeMap<CallRef, CircuitId>,
+    own: BTreeMap<CallRef, (Option<CircuitId>, u32)>,
     next: CallRef,
     rng: SmallRng,
     /// Calls of this end that came to stand, and that ended.
@@ -64,11 +64,11 @@
             node,
             host: host.to_owned(),
             sent: HopByHop::new(seed as u32),
-            arriving: HashMap::new(),
-            sessions: HashMap::new(),
-            refs: HashMap::new(),
-            circuits: HashMap::new(),
-            own: HashMap::new(),
+            arriving: BTreeMap::new(),
+            sessions: BTreeMap::new(),
+            refs: BTreeMap::new(),
+            circuits: BTreeMap::new(),
+            own: BTreeMap::new(),
             next: 1,
             rng: SmallRng::seed_from_u64(seed),
             stood: 0,
--- a/crates/lemoncleat-lab/src/server.rs
+++ b/crates/lemoncleat-lab/src/server.rs
@@ -1,6 +1,6 @@
 //! A stand-in call server: peers, sessions and a processor. It does no I/O itself.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -89,17 +89,17 @@
     pub dead_links: Vec<u16>,
     /// Lines that are lost for now.
     pub lost_lines: u32,
-    pub conns: HashMap<u64, ServerConn>,
+    pub conns: BTreeMap<u64, ServerConn>,
     state_id: u32,
-    sessions: HashMap<u64, Session>,
-    by_name: HashMap<String, u64>,
+    sessions: BTreeMap<u64, Session>,
+    by_name: BTreeMap<String, u64>,
     next_session: u64,
     arrivals: VecDeque<Micros>,
     told: (Micros, Micros),
     requests: HopByHop<()>,
     seed: u64,
     /// Trunk groups by node.
-    pub trunks: HashMap<u16, FarTrunk>,
+    pub trunks: BTreeMap<u16, FarTrunk>,
     rng: SmallRng,
 }
 
@@ -113,16 +113,16 @@
             fallen: false,
             dead_links: Vec::new(),
             lost_lines: 0,
-            conns: HashMap::new(),
+            conns: BTreeMap::new(),
             state_id: 1,
-            sessions: HashMap::new(),
-            by_name: HashMap::new(),
+            sessions: BTreeMap::new(),
+            by_name: BTreeMap::new(),
             next_session: 0,
             arrivals: VecDeque::new(),
             told: (Micros::MIN, 0),
             requests: HopByHop::new(seed as u32),
             seed,
-            trunks: HashMap::new(),
+            trunks: BTreeMap::new(),
             rng: SmallRng::seed_from_u64(seed),
             spec,
         }
@@ -180,7 +180,7 @@
         self.sessions.clear();
         self.by_name.clear();
         self.trunks.clear();
-        let mut conns: Vec<u64> = self.conns.drain().map(|(id, _)| id).collect();
+        let mut conns: Vec<u64> = std::mem::take(&mut self.conns).into_iter().map(|(id, _)| id).collect();
         conns.sort_unstable();
         conns
     }
--- a/crates/lemoncleat-lab/src/world.rs
+++ b/crates/lemoncleat-lab/src/world.rs
@@ -1,6 +1,6 @@
 //! The rehearsal: stand-ins, script and capture in one event loop.
 
-use std::collections::{BinaryHeap, HashMap};
+use std::collections::{BTreeMap, BinaryHeap};
 use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -183,7 +183,7 @@
     order: u64,
     rng: SmallRng,
     pub(crate) records: Vec<Record>,
-    owners: HashMap<u64, Owner>,
+    owners: BTreeMap<u64, Owner>,
     pub(crate) servers: Vec<Server>,
     /// For each server of the script, the one in its place now.
     in_place: Vec<usize>,
@@ -278,7 +278,7 @@
             order: 0,
             rng,
             records: vec![Record::Facts(facts)],
-            owners: HashMap::new(),
+            owners: BTreeMap::new(),
             servers,
             in_place,
             fronts,
--- a/crates/lemoncleat-node/src/node/peers.rs
+++ b/crates/lemoncleat-node/src/node/peers.rs
@@ -439,7 +439,8 @@
                     self.cut_calls(peer, "its server was taken away");
                     self.tell_peer(peer, PeerInput::Disconnect(DisconnectCause::DoNotWantToTalkToYou));
                 }
-                Availability::Ready if !self.stopping && self.peers[peer.0 as usize].peer.is_idle() => {
+                // Also while its connection is being ended, as by a line that came late: it is to be had again.
+                Availability::Ready if !self.stopping => {
                     self.tell_peer(peer, PeerInput::Start);
                 }
                 _ => {}
--- a/crates/lemoncleat-node/tests/peers.rs
+++ b/crates/lemoncleat-node/tests/peers.rs
@@ -188,3 +188,20 @@
     bench.answer(server, &attempt, code::SUCCESS);
     assert_eq!(bench.one(client, "AAA").result(), code::SUCCESS);
 }
+
+#[test]
+fn a_server_that_is_listed_again_while_its_connection_is_being_ended_is_dialled_anew() {
+    let mut bench = Bench::new(settings());
+    let server = bench.server("a.example");
+    // A late line says that it is gone; the next, that it is back, before the end of the connection is agreed.
+    bench.list(&[("a.example", Availability::Gone)]);
+    let dpr = bench.one(server, "DPR");
+    bench.list(&[("a.example", Availability::Ready)]);
+    bench.answer(server, &dpr, 2001);
+    bench.pass(2 * SECOND);
+    let again = bench.dialled("a.example", 1);
+    let client = bench.client("front.example");
+    bench.call(client, "s;1");
+    bench.pass(100 * MS);
+    assert!(bench.names(again).contains(&"AAR"), "it gets calls again");
+}
