An answer lost with its connection left a call standing that nobody would end

An answer went into a connection that was then lost; the client asked again over a new one when its caller's time was all but over, and the answer rightly stayed in the node. Whoever gives up waiting says nothing, so that the call stood at node and server for ever.

Change: a repeat on a newer connection shows that the answer was not heard; when it comes too late, the call is cut: its server gets a release, its client an Abort-Session-Request. A test of the core.

--- a/crates/lemoncleat-lab/src/server.rs
+++ b/crates/lemoncleat-lab/src/server.rs
@@ -147,7 +147,8 @@
 
     /// The names of calls that stand, in order.
     pub fn standing_names(&self) -> Vec<String> {
-        let standing = self.sessions.values().filter(|session| session.standing);
+        // One that was released before it stood is nobody's, even if the answer that would tell so was lost.
+        let standing = self.sessions.values().filter(|session| session.standing && !session.given_up);
         let mut names: Vec<String> = standing.map(|session| session.name.clone()).collect();
         names.sort();
         names
--- a/crates/lemoncleat-node/src/node/door.rs
+++ b/crates/lemoncleat-node/src/node/door.rs
@@ -70,7 +70,19 @@
         answer: &[u8],
     ) {
         // Nothing is kept of an answer that was withheld.
-        if answer.is_empty() || !self.is_open(deadline) {
+        if answer.is_empty() {
+            return;
+        }
+        if !self.is_open(deadline) {
+            // Asked for again on a newer connection, it was lost with the older one; now it comes too late, and
+            // whoever gives up waiting says nothing. Nobody else would end the call.
+            let unheard = self
+                .calls
+                .get(&id)
+                .is_some_and(|call| call.request == *request && call.standing.is_some() && call.conn != conn);
+            if unheard {
+                self.cut(id, "its answer was not heard in time");
+            }
             return;
         }
         let mut bytes = answer.to_vec();
@@ -79,7 +91,7 @@
         }
         if self.answer_set_up(conn, Some(deadline), bytes) {
             if let Some(call) = self.calls.get_mut(&id).filter(|call| call.request == *request) {
-                call.unheard = false;
+                (call.unheard, call.conn) = (false, conn);
             }
         }
     }
--- a/crates/lemoncleat-node/tests/calls.rs
+++ b/crates/lemoncleat-node/tests/calls.rs
@@ -652,3 +652,26 @@
     assert!(bench.closed.contains(&more));
     assert!(bench.notices.contains(&Notice::ConnectionsFull(more)));
 }
+
+#[test]
+fn an_answer_lost_with_its_connection_and_asked_for_too_late_leaves_no_call_standing() {
+    let mut bench = Bench::new(settings());
+    let server = bench.server("a.example");
+    let old = bench.client("front.example");
+    let id = bench.call(old, "s;1");
+    let attempt = bench.one(server, "AAR");
+    bench.answer(server, &attempt, code::SUCCESS);
+    assert_eq!(bench.one(old, "AAA").result(), code::SUCCESS);
+    // The answer never arrived: the connection is lost, and the repeat comes at the very end of the caller's time.
+    bench.input(Input::Closed(old));
+    for _ in 0..28 {
+        bench.pass(107 * MS);
+        assert!(bench.answer_watchdogs(server).is_empty());
+    }
+    let new = bench.client("front.example");
+    bench.bytes(new, &aar("front.example", "s;1", 77, id, true));
+    let got: Vec<&str> = bench.names(new).into_iter().filter(|name| *name != "DWR").collect();
+    assert_eq!(got, ["ASR"], "no answer any more, and the session is over");
+    assert!(bench.names(server).contains(&"STR"), "also at its server");
+    assert_eq!(bench.node.stats().standing, 0);
+}
