--- a/crates/lemoncleat-node/src/node/gap.rs
+++ b/crates/lemoncleat-node/src/node/gap.rs
@@ -3,7 +3,7 @@
 //! All that came meanwhile is met at once, in an order that says nothing of the order in which it happened. So
 //! what is overdue toward callers is done first; then the whole backlog is read, and answers and releases take
 //! effect as they are read; then watchdogs and time-outs are judged, with the module told everything at one
-//! moment, as it is on its bench; and set-ups, old and new, come last. A request that was read counts as come
+//! moment, as it is on its bench, the list's news first; and set-ups, old and new, come last. A request that was read counts as come
 //! when the gap began, the most careful moment.
 
 use super::*;
@@ -127,6 +127,8 @@
         gap.judged = true;
         let (watchdogs, rest): (Vec<Timer>, Vec<Timer>) =
             std::mem::take(&mut gap.timers).into_iter().partition(|timer| matches!(timer, Timer::Peer(_)));
+        // News of the list first: a call whose time is all but over is sent at the module's first look.
+        self.events.make_contiguous().sort_by_key(|event| !matches!(event, Event::Members(_)));
         self.settle();
         for timer in watchdogs.into_iter().chain(rest) {
             self.run_timer(timer);
