--- a/crates/lemoncleat-lab/src/server.rs
+++ b/crates/lemoncleat-lab/src/server.rs
@@ -181,7 +181,7 @@
         self.sessions.clear();
         self.by_name.clear();
         self.trunks.clear();
-        let mut conns: Vec<u64> = std::mem::take(&mut self.conns).into_iter().map(|(id, _)| id).collect();
+        let mut conns: Vec<u64> = std::mem::take(&mut self.conns).into_keys().collect();
         conns.sort_unstable();
         conns
     }
