Who asks for a proof of a name is told of its connection; the proving end alone closes

Cause: the check that closes a connection once a name is proven held at the dialling end too. A dial with the protocol acme-tls/1 ended with neither Dialled nor DialFailed, and the test that dials so waited for ever. Change: only the accepting end counts as proving.

--- a/crates/lemoncleat-net/src/tls.rs
+++ b/crates/lemoncleat-net/src/tls.rs
@@ -271,11 +271,14 @@
         }
     }
 
-    /// Whether it is there to prove a name and for nothing else.
+    /// Whether it is there to prove a name and for nothing else. The accepting end alone proves; who asks is
+    /// told of the connection and of its end as of any other.
     pub fn is_proof(&self) -> bool {
         match &self.state {
             State::Hello(..) => false,
-            State::Connection(connection) => connection.alpn_protocol() == Some(ACME_TLS),
+            State::Connection(connection) => {
+                matches!(**connection, Connection::Server(_)) && connection.alpn_protocol() == Some(ACME_TLS)
+            }
         }
     }
 
