--- /dev/null
+++ b/crates/lemoncleat-access/src/callers.rs
@@ -0,0 +1,210 @@
+//! Callers' connections: who may hold one, what comes on it, when it is closed.
+
+use std::collections::BTreeMap;
+
+use lemoncleat_core::Micros;
+use lemoncleat_sip::{response, Malformed, Message, Method, Reader, Start};
+
+use crate::interface::{ConnId, Output};
+use crate::node::AccessNode;
+use crate::notice::Notice;
+use crate::timing::{BAD_MESSAGES, IDLE_CALLER, SILENT_CALLER};
+
+/// Descriptors that are neither callers' nor servers': listener, journal service, notes, files, and connections
+/// that are being closed gently.
+pub(crate) const RESERVED: usize = 56;
+
+/// One connection.
+pub(crate) struct Caller {
+    reader: Reader,
+    accepted: Micros,
+    /// The last message that was of use; the moment 0 stands for none.
+    pub(crate) useful: Option<Micros>,
+    /// Since when a message lies there unfinished.
+    partial: Option<Micros>,
+    /// Set-ups without an answer that came on it.
+    pub(crate) open: u32,
+    bad: u32,
+}
+
+/// All of them.
+pub(crate) struct Callers {
+    pub(crate) conns: BTreeMap<ConnId, Caller>,
+    most: usize,
+}
+
+impl Callers {
+    pub(crate) fn new(sockets: usize) -> Self {
+        Callers { conns: BTreeMap::new(), most: sockets.saturating_sub(RESERVED) * 6 / 10 }
+    }
+
+    pub(crate) fn holds(&self, conn: ConnId) -> bool {
+        self.conns.contains_key(&conn)
+    }
+
+    /// Whom to close for room: a connection that has brought nothing yet, the oldest first, else the one without
+    /// an open set-up that has been quiet longest.
+    fn least(&self) -> Option<ConnId> {
+        let free = self.conns.iter().filter(|(_, caller)| caller.open == 0);
+        free.min_by_key(|(_, caller)| (caller.useful.is_some(), caller.useful.unwrap_or(caller.accepted)))
+            .map(|(conn, _)| *conn)
+    }
+
+    /// The connection that brought something of use last, other than one.
+    pub(crate) fn latest(&self, but: Option<ConnId>) -> Option<ConnId> {
+        let sound = self.conns.iter().filter(|(conn, caller)| caller.useful.is_some() && Some(**conn) != but);
+        sound.max_by_key(|(_, caller)| caller.useful).map(|(conn, _)| *conn)
+    }
+}
+
+impl AccessNode {
+    pub(crate) fn caller_accepted(&mut self, conn: ConnId) {
+        if self.callers.conns.len() >= self.callers.most {
+            match self.callers.least() {
+                Some(least) => self.close_caller(least, "room was needed"),
+                None => {
+                    self.notice(Notice::CallerClosed("there is no room"));
+                    return self.out.push(Output::Close(conn));
+                }
+            }
+        }
+        let caller = Caller {
+            reader: Reader::new(),
+            accepted: self.now,
+            useful: None,
+            partial: None,
+            open: 0,
+            bad: 0,
+        };
+        self.callers.conns.insert(conn, caller);
+    }
+
+    pub(crate) fn caller_bytes(&mut self, conn: ConnId, bytes: &[u8]) {
+        if let Some(caller) = self.callers.conns.get_mut(&conn) {
+            caller.reader.push(bytes);
+        }
+        while let Some(caller) = self.callers.conns.get_mut(&conn) {
+            match caller.reader.next_message() {
+                Ok(Some(message)) => self.caller_message(conn, message),
+                Ok(None) => {
+                    caller.partial = caller.reader.is_partial().then(|| caller.partial.unwrap_or(self.now));
+                    return;
+                }
+                Err(malformed) => return self.caller_malformed(conn, &malformed),
+            }
+        }
+    }
+
+    /// What can't be read is answered as far as there is something to answer to, and the connection closed.
+    fn caller_malformed(&mut self, conn: ConnId, malformed: &Malformed) {
+        self.stats.bad_callers += 1;
+        let code = if malformed.fault == lemoncleat_sip::Fault::TooLong { 413 } else { 400 };
+        let asked =
+            malformed.head.as_deref().filter(|head| !matches!(head.method(), None | Some(Method::Ack)));
+        let answer = match asked {
+            Some(head) if !self.is_open(head) => response(code, malformed.fault.as_str(), head).finish(b""),
+            Some(_) => Vec::new(),
+            None => lemoncleat_sip::refusal(code, malformed.fault.as_str()).finish(b""),
+        };
+        if !answer.is_empty() {
+            self.send(conn, answer);
+        }
+        self.hang_up(conn, malformed.fault.as_str());
+    }
+
+    /// Whether a message bears the id of a call that is held here: an answer to it could be taken for the call's.
+    fn is_open(&self, message: &Message) -> bool {
+        crate::invite::id(message)
+            .is_some_and(|(_, number)| self.calls.contains_key(&lemoncleat::CallId(number)))
+    }
+
+    fn caller_message(&mut self, conn: ConnId, message: Message) {
+        match message.start() {
+            Start::Request { method, .. } => match method {
+                Method::Invite => self.invite(conn, message),
+                Method::Ack => self.caller_acked(&message),
+                Method::Cancel => self.caller_cancels(conn, &message),
+                Method::Bye => self.caller_releases(conn, &message),
+                Method::Options => {
+                    let (code, phrase) =
+                        if self.stopping.is_some() { (503, "Service Unavailable") } else { (200, "OK") };
+                    self.caller_useful(conn);
+                    self.send(conn, response(code, phrase, &message).finish(b""));
+                }
+                Method::Notify => self.unusable(conn, &message, 489, "Bad Event"),
+                Method::Other(_) => self.unusable(conn, &message, 501, "Not Implemented"),
+            },
+            Start::Response { .. } => self.release_heard(conn, &message),
+        }
+    }
+
+    /// Refuses a message that is no use, and closes a connection that brings many of them.
+    pub(crate) fn unusable(&mut self, conn: ConnId, message: &Message, code: u16, phrase: &str) {
+        self.stats.bad_callers += 1;
+        self.send(conn, response(code, phrase, message).finish(b""));
+        let Some(caller) = self.callers.conns.get_mut(&conn) else { return };
+        caller.bad += 1;
+        if caller.bad >= BAD_MESSAGES && caller.open == 0 {
+            self.hang_up(conn, "too many messages that are no use");
+        }
+    }
+
+    pub(crate) fn caller_useful(&mut self, conn: ConnId) {
+        let now = self.now;
+        if let Some(caller) = self.callers.conns.get_mut(&conn) {
+            caller.useful = Some(now);
+            self.send_releases(conn);
+        }
+    }
+
+    /// A connection that its caller closed: the set-ups open on it are given up.
+    pub(crate) fn caller_closed(&mut self, conn: ConnId) {
+        if self.callers.conns.remove(&conn).is_some() {
+            self.caller_lost(conn);
+        }
+    }
+
+    fn caller_lost(&mut self, conn: ConnId) {
+        let open: Vec<_> =
+            self.calls.iter().filter(|(_, call)| call.conn == conn).map(|(id, _)| *id).collect();
+        for id in open {
+            self.caller_gone(id);
+        }
+        self.releases_unsent(conn);
+    }
+
+    fn close_caller(&mut self, conn: ConnId, why: &'static str) {
+        if self.callers.conns.remove(&conn).is_some() {
+            self.out.push(Output::Close(conn));
+            self.notice(Notice::CallerClosed(why));
+            self.caller_lost(conn);
+        }
+    }
+
+    fn hang_up(&mut self, conn: ConnId, why: &'static str) {
+        if self.callers.conns.remove(&conn).is_some() {
+            self.out.push(Output::HangUp(conn));
+            self.notice(Notice::CallerClosed(why));
+            self.caller_lost(conn);
+        }
+    }
+
+    pub(crate) fn sweep_callers(&mut self) {
+        let now = self.now;
+        let mut close = Vec::new();
+        for (&conn, caller) in &self.callers.conns {
+            if caller.partial.is_some_and(|since| now - since > SILENT_CALLER) {
+                close.push((conn, "a message without an end"));
+            } else if caller.open > 0 {
+                continue;
+            } else if caller.useful.is_none() && now - caller.accepted > SILENT_CALLER {
+                close.push((conn, "nothing of use came"));
+            } else if caller.useful.is_some_and(|at| now - at > IDLE_CALLER) {
+                close.push((conn, "idle"));
+            }
+        }
+        for (conn, why) in close {
+            self.hang_up(conn, why);
+        }
+    }
+}
--- /dev/null
+++ b/crates/lemoncleat-access/src/interface.rs
@@ -0,0 +1,90 @@
+//! What crosses the border between core and driver.
+
+use std::net::SocketAddr;
+
+use lemoncleat_core::Micros;
+
+use crate::notice::Notice;
+
+/// A connection, as the driver names it. Never used twice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ConnId(pub u64);
+
+/// A dial, as the core names it. Never used twice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct DialId(pub u64);
+
+/// What the core is told.
+#[derive(Clone, Copy, Debug)]
+pub enum Input<'a> {
+    /// A caller connected.
+    Accepted(ConnId),
+    /// A dial came about.
+    Dialled(DialId, ConnId),
+    /// A dial failed; `refused` when the machine answered that nobody listens.
+    DialFailed {
+        /// Which dial.
+        dial: DialId,
+        /// The machine refused it, at once.
+        refused: bool,
+    },
+    /// Bytes came.
+    Bytes(ConnId, &'a [u8]),
+    /// The other side closed, or the connection broke.
+    Closed(ConnId),
+    /// A note of another node.
+    Datagram(SocketAddr, &'a [u8]),
+    /// A moment that [`AccessNode::wake`](crate::AccessNode::wake) named may have come.
+    Timeout,
+    /// The configuration was read anew: the journal service is now there.
+    JournalAt(SocketAddr),
+    /// The node is to end in order.
+    Terminate,
+}
+
+/// What the core asks for.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Output {
+    /// Connect, and give it up after the time.
+    Dial(DialId, SocketAddr, Micros),
+    /// Give a dial up.
+    StopDial(DialId),
+    /// Write bytes.
+    Send(ConnId, Vec<u8>),
+    /// Close once what was given is written.
+    Close(ConnId),
+    /// Close gently, so that what was written is read although the other side goes on sending: write, end the
+    /// writing half, read and drop for a bounded while.
+    HangUp(ConnId),
+    /// Send a datagram.
+    Tell(SocketAddr, Vec<u8>),
+    /// A line for the log.
+    Notice(Notice),
+    /// All is done after [`Input::Terminate`].
+    Stopped,
+}
+
+/// What a node has done and holds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Stats {
+    /// Set-ups taken.
+    pub calls: u64,
+    /// Answered: the call stood.
+    pub stood: u64,
+    /// Refused (503).
+    pub refused: u64,
+    /// Failed.
+    pub failed: u64,
+    /// Given up by their callers.
+    pub gone: u64,
+    /// Stood and were cut.
+    pub cut: u64,
+    /// Attempts written to call servers.
+    pub attempts: u64,
+    /// Messages and streams that could not be read or used, from callers.
+    pub bad_callers: u64,
+    /// The same from call servers.
+    pub bad_servers: u64,
+    /// Calls that the guard at the deadline had to answer; 0 unless something is wrong.
+    pub overdue: u64,
+}
--- /dev/null
+++ b/crates/lemoncleat-access/src/notes.rs
@@ -0,0 +1,44 @@
+//! Notes between access nodes.
+
+use std::net::SocketAddr;
+
+use lemoncleat::{Event, Settings};
+
+use crate::interface::Output;
+use crate::node::AccessNode;
+
+/// The longest note.
+pub(crate) const LONGEST: usize = 256;
+
+/// Where notes go and come from.
+pub(crate) struct Notes {
+    allowed: bool,
+    peers: Vec<SocketAddr>,
+    all: Option<SocketAddr>,
+}
+
+impl Notes {
+    pub(crate) fn new(settings: &Settings, peers: Vec<SocketAddr>, all: Option<SocketAddr>) -> Self {
+        Notes { allowed: settings.may_tell, peers, all }
+    }
+}
+
+impl AccessNode {
+    /// A note that came; those of unknown senders are dropped.
+    pub(crate) fn note(&mut self, from: SocketAddr, bytes: &[u8]) {
+        let sender = self.notes.peers.iter().position(|peer| *peer == from);
+        if let (Some(from), true) = (sender, self.notes.allowed && bytes.len() <= LONGEST) {
+            self.tell(Event::Note { from: from as u32, bytes: bytes.to_vec() });
+        }
+    }
+
+    pub(crate) fn send_note(&mut self, to: Option<u32>, bytes: Vec<u8>) {
+        let address = match to {
+            Some(number) => self.notes.peers.get(number as usize).copied(),
+            None => self.notes.all,
+        };
+        if let (Some(address), true) = (address, self.notes.allowed && bytes.len() <= LONGEST) {
+            self.out.push(Output::Tell(address, bytes));
+        }
+    }
+}
--- /dev/null
+++ b/crates/lemoncleat-access/src/releases.rs
@@ -0,0 +1,156 @@
+//! Releases: toward callers until they are heard, and of calls that nobody here knows yet.
+
+use std::collections::BTreeMap;
+
+use lemoncleat::{CallId, ServerId};
+use lemoncleat_core::Micros;
+use lemoncleat_sip::{Message, Method};
+
+use crate::calls::dialog;
+use crate::interface::ConnId;
+use crate::invite;
+use crate::node::AccessNode;
+use crate::timing::{RELEASES, RELEASE_AGAIN, RELEASE_KEPT, RELEASE_TRIES, UNKNOWN_KEPT};
+
+/// A release that its caller has not confirmed.
+struct Release {
+    id: String,
+    called: String,
+    cause: u16,
+    since: Micros,
+    /// Where it went last, and when.
+    sent: Option<(ConnId, Micros)>,
+    tries: u32,
+}
+
+/// The tables.
+#[derive(Default)]
+pub(crate) struct Releases {
+    open: BTreeMap<CallId, Release>,
+    /// Releases of calls that are not known here, with their cause.
+    unknown: BTreeMap<CallId, (Micros, u16)>,
+    /// Attempts that were given up, for answers that come late.
+    abandoned: BTreeMap<(CallId, ServerId), Micros>,
+}
+
+impl Releases {
+    pub(crate) fn len(&self) -> usize {
+        self.open.len()
+    }
+
+    pub(crate) fn unknown_len(&self) -> usize {
+        self.unknown.len()
+    }
+
+    /// Keeps a release of a call that is not known here, while there is room.
+    pub(crate) fn keep_unknown(&mut self, now: Micros, id: CallId, cause: u16) {
+        if self.unknown.len() < RELEASES {
+            self.unknown.insert(id, (now, cause));
+        }
+    }
+
+    pub(crate) fn take_unknown(&mut self, id: CallId) -> Option<u16> {
+        self.unknown.remove(&id).map(|(_, cause)| cause)
+    }
+
+    /// A release that crossed the other side's: both are heard.
+    pub(crate) fn crossed(&mut self, id: CallId) -> bool {
+        self.open.remove(&id).is_some()
+    }
+
+    /// Remembers an attempt that was given up, while there is room.
+    pub(crate) fn abandon(&mut self, now: Micros, id: CallId, server: ServerId) {
+        if self.abandoned.len() < RELEASES {
+            self.abandoned.insert((id, server), now);
+        }
+    }
+
+    pub(crate) fn was_abandoned(&self, id: CallId, server: ServerId) -> bool {
+        self.abandoned.contains_key(&(id, server))
+    }
+}
+
+impl AccessNode {
+    /// Releases a call toward its caller: on its connection if that is there, else on another one, else on the
+    /// next that brings something.
+    pub(crate) fn release_to_caller(
+        &mut self,
+        id: CallId,
+        text: String,
+        called: String,
+        cause: u16,
+        conn: ConnId,
+    ) {
+        if self.releases.open.len() >= RELEASES {
+            // The oldest has been tried longest.
+            let oldest =
+                self.releases.open.iter().min_by_key(|(_, release)| release.since).map(|(id, _)| *id);
+            if let Some(oldest) = oldest {
+                self.releases.open.remove(&oldest);
+            }
+        }
+        let release = Release { id: text, called, cause, since: self.now, sent: None, tries: 0 };
+        self.releases.open.insert(id, release);
+        let to = if self.callers.holds(conn) { Some(conn) } else { self.callers.latest(None) };
+        if let Some(to) = to {
+            self.send_release(id, to);
+        }
+    }
+
+    fn send_release(&mut self, id: CallId, conn: ConnId) {
+        let now = self.now;
+        let Some(release) = self.releases.open.get_mut(&id) else { return };
+        release.sent = Some((conn, now));
+        release.tries += 1;
+        let bytes = dialog(Method::Bye, &self.name, &release.id, &release.called, release.tries)
+            .header("Reason", format_args!("Q.850;cause={}", release.cause))
+            .finish(b"");
+        self.send(conn, bytes);
+    }
+
+    /// Sends what could not be sent so far.
+    pub(crate) fn send_releases(&mut self, conn: ConnId) {
+        let unsent = self.releases.open.iter().filter(|(_, release)| release.sent.is_none());
+        for id in unsent.map(|(id, _)| *id).collect::<Vec<_>>() {
+            self.send_release(id, conn);
+        }
+    }
+
+    /// A connection is gone: what went out on it and was not confirmed goes out on another.
+    pub(crate) fn releases_unsent(&mut self, conn: ConnId) {
+        for release in self.releases.open.values_mut() {
+            if release.sent.is_some_and(|(to, _)| to == conn) {
+                release.sent = None;
+            }
+        }
+        if let Some(other) = self.callers.latest(None) {
+            self.send_releases(other);
+        }
+    }
+
+    /// A response of a caller: the only ones that say something are those to a release.
+    pub(crate) fn release_heard(&mut self, conn: ConnId, message: &Message) {
+        let release = message.cseq().is_some_and(|cseq| cseq.method == Method::Bye);
+        if let (Some((_, number)), true) = (invite::id(message), release) {
+            if self.releases.open.remove(&CallId(number)).is_some() {
+                self.caller_useful(conn);
+            }
+        }
+    }
+
+    pub(crate) fn sweep_releases(&mut self) {
+        let now = self.now;
+        self.releases.open.retain(|_, release| now - release.since < RELEASE_KEPT);
+        self.releases.unknown.retain(|_, (at, _)| now - *at < UNKNOWN_KEPT);
+        self.releases.abandoned.retain(|_, at| now - *at < UNKNOWN_KEPT);
+        let again = self.releases.open.iter().filter_map(|(id, release)| {
+            let (conn, at) = release.sent?;
+            (release.tries < RELEASE_TRIES && now - at > RELEASE_AGAIN).then_some((*id, conn))
+        });
+        for (id, conn) in again.collect::<Vec<_>>() {
+            if let Some(other) = self.callers.latest(Some(conn)) {
+                self.send_release(id, other);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/lemoncleat-access/src/servers.rs
@@ -0,0 +1,705 @@
+//! Call servers: the list, connections to them, and what comes on these.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use lemoncleat::{Availability, CallId, Event, MemberNews, Outcome, Reason, Report, ServerId};
+use lemoncleat_core::Micros;
+use lemoncleat_platform::{diagnosis, report_of_text, Names, ServerNews};
+use lemoncleat_sip::{response, Message, Method, Reader, Start};
+
+use crate::callers::RESERVED;
+use crate::calls::{cause_of, dialog, Carrier};
+use crate::description;
+use crate::interface::{ConnId, DialId, Output};
+use crate::invite;
+use crate::node::AccessNode;
+use crate::notice::Notice;
+use crate::timing::{CHECK, DIAL, IDLE_SERVER, KEPT, PARTIAL_ANSWER, REDIAL, RELEASES, VANISHED};
+
+/// One call server.
+struct Server {
+    name: String,
+    address: SocketAddr,
+    availability: Availability,
+    started_at: Option<Micros>,
+    conns: BTreeSet<ConnId>,
+    dials: BTreeSet<DialId>,
+    /// Calls that stand there.
+    standing: usize,
+    /// Releases to write once there is a connection: id, number called, cause.
+    owed: Vec<(String, String, u16)>,
+    /// When it was heard last.
+    heard_at: Micros,
+    /// Since when dials fail.
+    unreachable: Option<Micros>,
+    pause: Micros,
+    dial_at: Micros,
+    /// Another server stands at its address now.
+    displaced: bool,
+}
+
+/// A connection to one.
+struct ServerConn {
+    server: ServerId,
+    reader: Reader,
+    /// Set-ups open on it.
+    open: BTreeSet<CallId>,
+    /// A set-up timed out on it in silence: no more of them.
+    suspect: bool,
+    opened_at: Micros,
+    heard_at: Micros,
+    used_at: Micros,
+    partial: Option<Micros>,
+}
+
+/// A dial under way, and the set-ups that wait for it.
+struct Dial {
+    server: ServerId,
+    waiting: BTreeSet<CallId>,
+}
+
+/// All of them.
+pub(crate) struct Servers {
+    all: BTreeMap<ServerId, Server>,
+    by_name: BTreeMap<String, ServerId>,
+    conns: BTreeMap<ConnId, ServerConn>,
+    dials: BTreeMap<DialId, Dial>,
+    zones: Names,
+    kinds: Names,
+    next_server: u32,
+    next_dial: u64,
+    dial_timeout: Micros,
+    /// Connections and dials, at most.
+    most: usize,
+}
+
+/// Connections that one server gets at most, whatever room there is.
+const MOST_OF_ONE: usize = 32;
+
+impl Servers {
+    pub(crate) fn new(sockets: usize, dial_timeout: Micros, zones: &[String]) -> Self {
+        Servers {
+            all: BTreeMap::new(),
+            by_name: BTreeMap::new(),
+            conns: BTreeMap::new(),
+            dials: BTreeMap::new(),
+            zones: zones.iter().collect(),
+            kinds: Names::default(),
+            next_server: 0,
+            next_dial: 0,
+            dial_timeout: if dial_timeout > 0 { dial_timeout } else { DIAL },
+            most: sockets.saturating_sub(RESERVED) * 4 / 10,
+        }
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.all.len()
+    }
+
+    pub(crate) fn conns_len(&self) -> usize {
+        self.conns.len()
+    }
+
+    pub(crate) fn holds(&self, conn: ConnId) -> bool {
+        self.conns.contains_key(&conn)
+    }
+
+    pub(crate) fn next_dial(&mut self) -> DialId {
+        self.next_dial += 1;
+        DialId(self.next_dial)
+    }
+
+    pub(crate) fn named(&self, name: &str) -> Option<ServerId> {
+        self.by_name.get(name).copied()
+    }
+
+    pub(crate) fn name(&self, server: ServerId) -> String {
+        self.all.get(&server).map_or_else(String::new, |server| server.name.clone())
+    }
+
+    /// Whether news of calls that stand there can still arrive.
+    pub(crate) fn can_be_heard(&self, server: ServerId) -> bool {
+        self.all.get(&server).is_some_and(|server| !server.displaced || !server.conns.is_empty())
+    }
+
+    pub(crate) fn stands(&mut self, server: ServerId, change: isize) {
+        if let Some(server) = self.all.get_mut(&server) {
+            server.standing = server.standing.saturating_add_signed(change);
+        }
+    }
+
+    /// A set-up was written on a connection.
+    pub(crate) fn opened(&mut self, conn: ConnId, call: CallId, now: Micros) {
+        if let Some(conn) = self.conns.get_mut(&conn) {
+            conn.open.insert(call);
+            conn.used_at = now;
+        }
+    }
+
+    /// A set-up is not open any more, or waits no more for its dial.
+    pub(crate) fn unopened(&mut self, carrier: Carrier, call: CallId) {
+        match carrier {
+            Carrier::Conn(conn) => {
+                if let Some(conn) = self.conns.get_mut(&conn) {
+                    conn.open.remove(&call);
+                }
+            }
+            Carrier::Dial(dial) => {
+                if let Some(dial) = self.dials.get_mut(&dial) {
+                    dial.waiting.remove(&call);
+                }
+            }
+        }
+    }
+
+    /// A set-up sent at that moment was given up on a connection. True if the connection has said nothing since:
+    /// it gets no more of them.
+    pub(crate) fn doubt(&mut self, conn: ConnId, sent: Micros) -> bool {
+        let Some(conn) = self.conns.get_mut(&conn) else { return true };
+        conn.suspect |= conn.heard_at < sent;
+        conn.suspect
+    }
+
+    /// A connection for a set-up: one with nothing open on it, else a new one, else the one with the least.
+    fn choose(&self, server: ServerId) -> Option<ConnId> {
+        let own = self.all.get(&server)?.conns.iter();
+        let sound =
+            own.filter_map(|id| self.conns.get(id).map(|conn| (*id, conn))).filter(|(_, c)| !c.suspect);
+        // Of several with nothing open, the one heard last is the surest to be there.
+        sound.min_by_key(|(_, conn)| (conn.open.len(), std::cmp::Reverse(conn.heard_at))).map(|(id, _)| id)
+    }
+
+    fn room(&self, server: ServerId) -> bool {
+        let listed =
+            self.all.values().filter(|server| server.availability == Availability::Ready).count().max(1);
+        let most = (self.most / listed).clamp(2, MOST_OF_ONE);
+        let own = self.all.get(&server).map_or(0, |server| server.conns.len() + server.dials.len());
+        own < most && self.conns.len() + self.dials.len() < self.most
+    }
+
+    fn sound_conn(&self, server: ServerId, but: Option<ConnId>) -> Option<ConnId> {
+        let own = self.all.get(&server)?.conns.iter().filter(|id| Some(**id) != but);
+        let sound =
+            own.filter_map(|id| self.conns.get(id).map(|conn| (*id, conn))).filter(|(_, c)| !c.suspect);
+        sound.max_by_key(|(_, conn)| conn.heard_at).map(|(id, _)| id)
+    }
+}
+
+impl AccessNode {
+    // ---- The list ----
+
+    /// News of the list.
+    pub(crate) fn listed(&mut self, news: ServerNews) {
+        let mut members = Vec::new();
+        let mut seen = BTreeSet::new();
+        for endpoint in news.endpoints {
+            let mut listed = endpoint.server;
+            listed.started_at = listed.started_at.map(|at| at - self.epoch);
+            let id = match self.servers.named(&listed.name) {
+                Some(id) => id,
+                None if listed.availability == Availability::Gone => continue,
+                None => self.add_server(&listed.name, endpoint.address),
+            };
+            seen.insert(id);
+            members.push(listed.member(id, &mut self.servers.zones, &mut self.servers.kinds));
+            let Some(server) = self.servers.all.get_mut(&id) else { continue };
+            let restarted = listed.started_at.filter(|_| listed.started_at != server.started_at);
+            server.address = endpoint.address;
+            server.availability = listed.availability;
+            server.started_at = listed.started_at;
+            server.displaced = false;
+            if let Some(started) = restarted {
+                // A process that began then holds nothing from before.
+                self.lose_standing(id, started, "its process started anew");
+            }
+            if listed.availability != Availability::Ready {
+                self.unbind(id);
+            }
+            self.displace(id, endpoint.address);
+        }
+        if news.complete {
+            let gone: Vec<_> = self.servers.all.keys().filter(|id| !seen.contains(id)).copied().collect();
+            for id in gone {
+                if let Some(server) = self.servers.all.get_mut(&id) {
+                    server.availability = Availability::Gone;
+                }
+                self.unbind(id);
+            }
+        }
+        let news = if news.complete { MemberNews::Complete(members) } else { MemberNews::Changes(members) };
+        self.tell_members(news);
+        let all: Vec<_> = self.servers.all.keys().copied().collect();
+        for id in all {
+            self.mind_server(id);
+        }
+    }
+
+    fn add_server(&mut self, name: &str, address: SocketAddr) -> ServerId {
+        let id = ServerId(self.servers.next_server);
+        self.servers.next_server += 1;
+        let server = Server {
+            name: name.to_owned(),
+            address,
+            availability: Availability::Ready,
+            started_at: None,
+            conns: BTreeSet::new(),
+            dials: BTreeSet::new(),
+            standing: 0,
+            owed: Vec::new(),
+            heard_at: self.now,
+            unreachable: None,
+            pause: REDIAL.0,
+            dial_at: self.now,
+            displaced: false,
+        };
+        self.servers.all.insert(id, server);
+        self.servers.by_name.insert(name.to_owned(), id);
+        id
+    }
+
+    /// Another server that stood at this address is not to be dialled there any more.
+    fn displace(&mut self, by: ServerId, address: SocketAddr) {
+        let others = self.servers.all.iter_mut().filter(|(id, server)| {
+            **id != by && server.address == address && server.availability == Availability::Gone
+        });
+        let mut dials = Vec::new();
+        for (_, server) in others {
+            server.displaced = true;
+            dials.extend(std::mem::take(&mut server.dials));
+        }
+        for dial in dials {
+            self.stop_dial(dial);
+        }
+    }
+
+    /// Set-ups that wait for a connection to a server that takes no more of them go elsewhere.
+    fn unbind(&mut self, id: ServerId) {
+        let waiting: Vec<CallId> = self
+            .servers
+            .dials
+            .values_mut()
+            .filter(|dial| dial.server == id)
+            .flat_map(|dial| std::mem::take(&mut dial.waiting))
+            .collect();
+        for call in waiting {
+            self.end_attempt(call, Outcome::Unreachable, Reason::None, Report::default());
+        }
+    }
+
+    // ---- Connections ----
+
+    /// What an attempt goes out on; `None` where there is nothing and no room for it.
+    pub(crate) fn carrier(&mut self, server: ServerId, call: CallId) -> Option<Carrier> {
+        let best = self.servers.choose(server);
+        let free = best.and_then(|id| self.servers.conns.get(&id)).is_some_and(|conn| conn.open.is_empty());
+        if let (Some(conn), true) = (best, free || !self.servers.room(server)) {
+            return Some(Carrier::Conn(conn));
+        }
+        let dial = if self.servers.room(server) {
+            self.dial_server(server)
+        } else {
+            // Nothing is up: it waits with others.
+            self.servers.all.get(&server)?.dials.first().copied()
+        };
+        match dial {
+            Some(dial) => {
+                self.servers.dials.get_mut(&dial)?.waiting.insert(call);
+                Some(Carrier::Dial(dial))
+            }
+            None => best.map(Carrier::Conn),
+        }
+    }
+
+    fn dial_server(&mut self, id: ServerId) -> Option<DialId> {
+        let dial = self.servers.next_dial();
+        let timeout = self.servers.dial_timeout;
+        let server = self.servers.all.get_mut(&id)?;
+        if server.displaced {
+            return None;
+        }
+        server.dials.insert(dial);
+        let address = server.address;
+        self.servers.dials.insert(dial, Dial { server: id, waiting: BTreeSet::new() });
+        self.out.push(Output::Dial(dial, address, timeout));
+        Some(dial)
+    }
+
+    fn stop_dial(&mut self, dial: DialId) {
+        let Some(gone) = self.servers.dials.remove(&dial) else { return };
+        self.out.push(Output::StopDial(dial));
+        if let Some(server) = self.servers.all.get_mut(&gone.server) {
+            server.dials.remove(&dial);
+        }
+        for call in gone.waiting {
+            self.end_attempt(call, Outcome::Unreachable, Reason::None, Report::default());
+        }
+    }
+
+    pub(crate) fn server_dialled(&mut self, dial: DialId, conn: ConnId) {
+        let now = self.now;
+        let Some(done) = self.servers.dials.remove(&dial) else {
+            return self.out.push(Output::Close(conn));
+        };
+        let Some(server) = self.servers.all.get_mut(&done.server) else {
+            return self.out.push(Output::Close(conn));
+        };
+        server.dials.remove(&dial);
+        server.conns.insert(conn);
+        (server.unreachable, server.pause) = (None, REDIAL.0);
+        server.heard_at = now;
+        let owed = std::mem::take(&mut server.owed);
+        let state = ServerConn {
+            server: done.server,
+            reader: Reader::new(),
+            open: BTreeSet::new(),
+            suspect: false,
+            opened_at: now,
+            heard_at: now,
+            used_at: now,
+            partial: None,
+        };
+        self.servers.conns.insert(conn, state);
+        for (id, called, cause) in owed {
+            self.write_release(conn, &id, &called, cause);
+        }
+        for call in done.waiting {
+            self.write_invite(call, conn);
+        }
+    }
+
+    pub(crate) fn server_dial_failed(&mut self, dial: DialId, refused: bool) {
+        let now = self.now;
+        let Some(failed) = self.servers.dials.remove(&dial) else { return };
+        let id = failed.server;
+        let mut first = false;
+        let mut dead = false;
+        if let Some(server) = self.servers.all.get_mut(&id) {
+            server.dials.remove(&dial);
+            first = server.unreachable.is_none();
+            server.unreachable.get_or_insert(now);
+            server.dial_at = now + server.pause;
+            server.pause = (2 * server.pause).min(REDIAL.1);
+            // Connections that are still open would have been reset with the process.
+            dead = refused && server.conns.is_empty();
+        }
+        if first {
+            let server = self.servers.name(id);
+            self.notice(Notice::Unreachable { server, refused });
+        }
+        for call in failed.waiting {
+            self.end_attempt(call, Outcome::Unreachable, Reason::None, Report::default());
+        }
+        if dead {
+            self.lose_standing(id, Micros::MAX, "its process is gone");
+        }
+        self.mind_server(id);
+    }
+
+    pub(crate) fn server_closed(&mut self, conn: ConnId) {
+        self.drop_server_conn(conn, None);
+    }
+
+    /// A connection is no more: the set-ups open on it may have run. `why` tells what is wrong with one that the
+    /// other side did not close.
+    fn drop_server_conn(&mut self, conn: ConnId, why: Option<&'static str>) {
+        let Some(gone) = self.servers.conns.remove(&conn) else { return };
+        let id = gone.server;
+        if let Some(server) = self.servers.all.get_mut(&id) {
+            server.conns.remove(&conn);
+        }
+        if let Some(why) = why {
+            self.out.push(Output::Close(conn));
+            let server = self.servers.name(id);
+            self.notice(Notice::ServerConn { server, why, open: gone.open.len() });
+        }
+        for call in gone.open {
+            let held = self.calls.get(&call).map(|call| (call.id.clone(), call.called.clone()));
+            self.releases.abandon(self.now, call, id);
+            if let Some((text, called)) = held {
+                // It may have been answered: whatever stands there is of no use to anybody.
+                self.release_elsewhere(id, &text, &called, conn);
+            }
+            self.end_attempt(call, Outcome::Reset, Reason::None, Report::default());
+        }
+        self.mind_server(id);
+    }
+
+    /// Closes a connection that is suspect once nothing is open on it.
+    pub(crate) fn mind_server_conn(&mut self, conn: ConnId) {
+        let done = self.servers.conns.get(&conn).is_some_and(|conn| conn.suspect && conn.open.is_empty());
+        if done {
+            self.drop_server_conn(conn, Some("it is silent"));
+        }
+    }
+
+    /// Sees to it that a server that is needed has a connection, and that one that is not is forgotten.
+    fn mind_server(&mut self, id: ServerId) {
+        let now = self.now;
+        let Some(server) = self.servers.all.get(&id) else { return };
+        let needed = server.availability != Availability::Gone || server.standing > 0;
+        if !needed {
+            let busy = server
+                .conns
+                .iter()
+                .any(|conn| self.servers.conns.get(conn).is_some_and(|conn| !conn.open.is_empty()));
+            if !busy {
+                self.forget_server(id);
+            }
+            return;
+        }
+        let bare = server.conns.is_empty() && server.dials.is_empty();
+        if bare && server.displaced {
+            return self.lose_standing(id, Micros::MAX, "another server stands at its address");
+        }
+        if bare && now >= server.dial_at {
+            self.dial_server(id);
+        }
+    }
+
+    fn forget_server(&mut self, id: ServerId) {
+        let Some(server) = self.servers.all.remove(&id) else { return };
+        self.servers.by_name.remove(&server.name);
+        for conn in server.conns {
+            self.servers.conns.remove(&conn);
+            self.out.push(Output::Close(conn));
+        }
+        for dial in server.dials {
+            self.servers.dials.remove(&dial);
+            self.out.push(Output::StopDial(dial));
+        }
+    }
+
+    // ---- Releases toward servers ----
+
+    fn write_release(&mut self, conn: ConnId, id: &str, called: &str, cause: u16) {
+        let bytes = dialog(Method::Bye, &self.name, id, called, 100)
+            .header("Reason", format_args!("Q.850;cause={cause}"))
+            .finish(b"");
+        self.send(conn, bytes);
+    }
+
+    /// Releases a call at its server: on a connection of its own choice, else on any, else on the next.
+    pub(crate) fn release_at_server(
+        &mut self,
+        server: ServerId,
+        id: &str,
+        called: &str,
+        cause: u16,
+        conn: Option<ConnId>,
+    ) {
+        let own = conn.filter(|conn| self.servers.conns.get(conn).is_some_and(|conn| !conn.suspect));
+        if let Some(conn) = own.or_else(|| self.servers.sound_conn(server, None)) {
+            return self.write_release(conn, id, called, cause);
+        }
+        if let Some(server) = self.servers.all.get_mut(&server) {
+            if server.owed.len() < RELEASES {
+                server.owed.push((id.to_owned(), called.to_owned(), cause));
+            }
+        }
+    }
+
+    /// Releases what may stand of a given-up attempt on a connection other than its own, if one is sound.
+    pub(crate) fn release_elsewhere(&mut self, server: ServerId, id: &str, called: &str, but: ConnId) {
+        if let Some(conn) = self.servers.sound_conn(server, Some(but)) {
+            self.write_release(conn, id, called, 16);
+        }
+    }
+
+    // ---- From servers ----
+
+    pub(crate) fn server_bytes(&mut self, conn: ConnId, bytes: &[u8]) {
+        let now = self.now;
+        if let Some(state) = self.servers.conns.get_mut(&conn) {
+            state.reader.push(bytes);
+        }
+        while let Some(state) = self.servers.conns.get_mut(&conn) {
+            match state.reader.next_message() {
+                Ok(Some(_)) if !state.reader.follows_well() => {
+                    self.stats.bad_servers += 1;
+                    return self.drop_server_conn(conn, Some("what follows a message is none"));
+                }
+                Ok(Some(message)) => {
+                    let server = state.server;
+                    (state.heard_at, state.suspect) = (now, false);
+                    if let Some(server) = self.servers.all.get_mut(&server) {
+                        server.heard_at = now;
+                        server.unreachable = None;
+                    }
+                    self.server_message(conn, server, message);
+                }
+                Ok(None) => {
+                    state.partial = state.reader.is_partial().then(|| state.partial.unwrap_or(now));
+                    return;
+                }
+                Err(malformed) => {
+                    self.stats.bad_servers += 1;
+                    return self.drop_server_conn(conn, Some(malformed.fault.as_str()));
+                }
+            }
+        }
+    }
+
+    fn server_message(&mut self, conn: ConnId, server: ServerId, message: Message) {
+        match message.start() {
+            Start::Response { code } => {
+                let code = *code;
+                match message.cseq().map(|cseq| cseq.method) {
+                    Some(Method::Invite) => self.server_answers(conn, server, code, &message),
+                    Some(Method::Options) => self.tested(server, code, &message),
+                    // Releases and withdrawals that were heard.
+                    _ => {}
+                }
+            }
+            Start::Request { method, .. } => match method {
+                Method::Bye => self.server_releases(conn, server, &message),
+                Method::Notify => {
+                    let report = report_of(&message);
+                    self.tell(Event::Probed { server, outcome: Outcome::Ok, lag: 0, report });
+                }
+                Method::Options => self.send(conn, response(200, "OK", &message).finish(b"")),
+                _ => {}
+            },
+        }
+    }
+
+    fn server_answers(&mut self, conn: ConnId, server: ServerId, code: u16, message: &Message) {
+        let Some((_, number)) = invite::id(message) else { return };
+        let id = CallId(number);
+        if code < 200 {
+            return;
+        }
+        let out = self.calls.get(&id).and_then(|call| call.attempt);
+        let seq = message.cseq().map(|cseq| cseq.number);
+        let own = out.is_some_and(|out| out.carrier == Carrier::Conn(conn) && seq == Some(out.number + 1));
+        if !own {
+            return self.late_answer(conn, server, id, code, message);
+        }
+        if code < 300 && !description::is_whole(message.body()) {
+            self.stats.bad_servers += 1;
+            return self.drop_server_conn(conn, Some("an answer's description is not whole"));
+        }
+        self.acknowledge(conn, message);
+        let reason = message.header("X-Diagnosis").unwrap_or_default();
+        let lag = message.header("X-Lag").and_then(|lag| lag.trim().parse::<f64>().ok());
+        let wait = lag.filter(|lag| lag.is_finite()).map_or(0, |lag| (lag * 1e3) as Micros);
+        let (reason, report) = (diagnosis(reason, wait), report_of(message));
+        let outcome = match code {
+            200..300 => return self.attempt_answered(id, conn, message),
+            503 => Outcome::Full,
+            480 => Outcome::Moot,
+            504 => Outcome::Reset,
+            _ => Outcome::Error,
+        };
+        self.end_attempt(id, outcome, reason, report);
+    }
+
+    /// An answer that nobody waits for: a second copy, or one to an attempt that was given up.
+    fn late_answer(&mut self, conn: ConnId, server: ServerId, id: CallId, code: u16, message: &Message) {
+        if !self.releases.was_abandoned(id, server) {
+            return;
+        }
+        self.acknowledge(conn, message);
+        let out_there =
+            self.calls.get(&id).and_then(|call| call.attempt).is_some_and(|out| out.server == server);
+        let stands_there = self.standing.get(&id).is_some_and(|standing| standing.server == server);
+        if (200..300).contains(&code) && !out_there && !stands_there {
+            self.trace_id(id, "answered after it was given up: released");
+            if let Some((text, _)) = invite::id(message) {
+                self.write_release(conn, &text.to_owned(), "late", 16);
+            }
+        }
+    }
+
+    fn acknowledge(&mut self, conn: ConnId, message: &Message) {
+        let (Some((id, _)), Some(cseq)) = (invite::id(message), message.cseq()) else { return };
+        let bytes = dialog(Method::Ack, &self.name, id, "call", cseq.number).finish(b"");
+        self.send(conn, bytes);
+    }
+
+    fn server_releases(&mut self, conn: ConnId, server: ServerId, message: &Message) {
+        let Some((_, number)) = invite::id(message) else { return };
+        let (id, cause) = (CallId(number), cause_of(message));
+        self.send(conn, response(200, "OK", message).finish(b""));
+        let report = report_of(message);
+        let out = self.calls.get(&id).and_then(|call| call.attempt);
+        if self.standing.get(&id).is_some_and(|standing| standing.server == server) {
+            let outcome = if cause == 16 { Outcome::Ok } else { Outcome::Reset };
+            if let Some(standing) = self.end_standing(id, outcome, report) {
+                self.trace(&standing.id, || format!("released by server {}, cause {cause}", server.0));
+                self.release_to_caller(id, standing.id, standing.called, cause, standing.caller);
+                self.mind_server(server);
+            }
+        } else if out.is_some_and(|out| out.server == server && out.carrier == Carrier::Conn(conn)) {
+            self.end_attempt(id, Outcome::Reset, Reason::None, report);
+        } else if out.is_none() && !self.releases.was_abandoned(id, server) {
+            // It may stand since before this process did.
+            let now = self.now;
+            self.releases.keep_unknown(now, id, cause);
+        }
+    }
+
+    // ---- Tests ----
+
+    /// The module wants to know how a server is.
+    pub(crate) fn probe(&mut self, server: ServerId) {
+        let now = self.now;
+        let Some(conn) = self.servers.sound_conn(server, None) else {
+            let report = Report::default();
+            return self.tell(Event::Probed { server, outcome: Outcome::Unreachable, lag: 0, report });
+        };
+        let id = format!("{:016x}", now as u64);
+        let bytes = dialog(Method::Options, &self.name, &id, "ping", 1).finish(b"");
+        self.send(conn, bytes);
+    }
+
+    fn tested(&mut self, server: ServerId, code: u16, message: &Message) {
+        let sent = invite::id(message).map_or(self.now, |(_, at)| at as Micros);
+        let outcome = if (200..300).contains(&code) { Outcome::Ok } else { Outcome::Full };
+        let lag = (self.now - sent).max(0);
+        self.tell(Event::Probed { server, outcome, lag, report: report_of(message) });
+    }
+
+    // ---- The regular look ----
+
+    pub(crate) fn sweep_servers(&mut self) {
+        let now = self.now;
+        let mut stuck = Vec::new();
+        for (&id, conn) in &self.servers.conns {
+            let own = self.servers.all.get(&conn.server).map_or(0, |server| server.conns.len());
+            let idle = conn.open.is_empty() && now - conn.used_at.max(conn.opened_at) > IDLE_SERVER;
+            if conn.partial.is_some_and(|since| now - since > PARTIAL_ANSWER) {
+                stuck.push((id, "a message stopped short"));
+            } else if idle && own > KEPT {
+                stuck.push((id, "idle"));
+            }
+        }
+        for (conn, why) in stuck {
+            let left = self.servers.conns.get(&conn).and_then(|conn| self.servers.all.get(&conn.server));
+            if why != "idle" || left.is_some_and(|server| server.conns.len() > KEPT) {
+                self.drop_server_conn(conn, Some(why));
+            }
+        }
+        let all: Vec<_> = self.servers.all.keys().copied().collect();
+        for id in all {
+            let Some(server) = self.servers.all.get(&id) else { continue };
+            let held = server.standing > 0;
+            let quiet =
+                held && now - server.heard_at > CHECK && server.dials.is_empty() && now >= server.dial_at;
+            let vanished = server.unreachable.is_some_and(|since| now - since > VANISHED);
+            if held && vanished {
+                self.lose_standing(id, Micros::MAX, "it can't be reached");
+            } else if quiet && !server.displaced {
+                if let Some(server) = self.servers.all.get_mut(&id) {
+                    server.dial_at = now + CHECK;
+                }
+                self.dial_server(id);
+            }
+            self.mind_server(id);
+        }
+    }
+}
+
+fn report_of(message: &Message) -> Report {
+    message.header("X-Occupancy").map_or_else(Report::default, report_of_text)
+}
--- /dev/null
+++ b/crates/lemoncleat-access/src/timing.rs
@@ -0,0 +1,58 @@
+//! Times and bounds of the protocol's work. None of them chooses a route.
+
+use lemoncleat_core::Micros;
+
+const MS: Micros = 1_000;
+const SECOND: Micros = 1_000 * MS;
+
+/// The module's deadline lies this much before the caller's, so that its answer arrives in time.
+pub const ANSWER_MARGIN: Micros = 30 * MS;
+/// The longest time that a caller may say it waits.
+pub const LONGEST_TIMER_MS: f64 = 600_000.0;
+/// Between two looks at connections.
+pub const SWEEP: Micros = 100 * MS;
+/// A caller's connection that has brought nothing of use for this long after it was accepted is closed; so is
+/// one whose message stays unfinished for as long.
+pub const SILENT_CALLER: Micros = 2 * SECOND;
+/// A caller's connection without an open set-up is closed after this long without a message.
+pub const IDLE_CALLER: Micros = 10 * SECOND;
+/// Messages that can't be used before a caller's connection is closed.
+pub const BAD_MESSAGES: u32 = 8;
+/// A server's message stays unfinished for this long: the rest won't come.
+pub const PARTIAL_ANSWER: Micros = 400 * MS;
+/// How long a dial takes at most where the settings say nothing.
+pub const DIAL: Micros = 500 * MS;
+/// Pauses between dials to a server that has no connection: the first, and the longest.
+pub const REDIAL: (Micros, Micros) = (50 * MS, SECOND);
+/// A server that holds calls and has said nothing for this long is dialled, to hear whether it is there.
+pub const CHECK: Micros = 2 * SECOND;
+/// A server that can't be reached, and says nothing, for this long has lost its calls.
+pub const VANISHED: Micros = 4 * SECOND;
+/// Connections to a server with nothing open on them, beyond the first few, are closed after this.
+pub const IDLE_SERVER: Micros = 20 * SECOND;
+/// Connections to a server that are kept however idle: as many as its news of free lines come on.
+pub const KEPT: usize = 4;
+/// The journal service tells its last number every second; after this it counts as silent.
+pub const JOURNAL_SILENT: Micros = 2_200 * MS;
+/// Pauses between dials to the journal service: the first, and the longest.
+pub const JOURNAL_REDIAL: (Micros, Micros) = (50 * MS, SECOND);
+/// How long a dial to the journal service may take.
+pub const JOURNAL_DIAL: Micros = SECOND;
+/// The longest line of the journal service.
+pub const JOURNAL_LINE: usize = 1 << 20;
+/// A release that a caller did not confirm is sent again on another connection after this, ...
+pub const RELEASE_AGAIN: Micros = 400 * MS;
+/// ... this many times, ...
+pub const RELEASE_TRIES: u32 = 3;
+/// ... and forgotten after this.
+pub const RELEASE_KEPT: Micros = 12 * SECOND;
+/// Releases of calls that nobody here knows yet are kept this long.
+pub const UNKNOWN_KEPT: Micros = 20 * SECOND;
+/// Releases kept in each of these tables at most.
+pub const RELEASES: usize = 4_096;
+/// A stopping node stays at least this long, for what still arrives.
+pub const STOP_AFTER: Micros = 900 * MS;
+/// A stopping node passes releases of standing calls on for this long beyond the longest deadline.
+pub const STOP_STANDING: Micros = 20 * SECOND;
+/// Between two lines of the log on the sizes of tables.
+pub const TELL_TABLES: Micros = 10 * SECOND;
--- /dev/null
+++ b/crates/lemoncleat-cli/src/access.rs
@@ -0,0 +1,70 @@
+//! `lemoncleat access`.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use async_signal::{Signal, Signals};
+use futures_lite::StreamExt;
+use lemoncleat_service::{
+    init_log, listen_for_callers, read_access_config, serve_access, AccessControl, AccessSettings, LogFormat,
+    LogTo,
+};
+
+use crate::Failure;
+
+/// The platform's variables, and the product's own.
+const CONFIG: &str = "BALANCER_CONFIG";
+const LISTEN: &str = "BALANCER_LISTEN";
+const NAME: &str = "BALANCER_NAME";
+const LOG: &str = "LEMONCLEAT_LOG";
+
+fn variable(name: &str) -> Option<String> {
+    std::env::var(name).ok().filter(|value| !value.is_empty())
+}
+
+pub fn run() -> Result<(), Failure> {
+    let Some(file) = variable(CONFIG).map(PathBuf::from) else {
+        return Err(Failure::Usage(format!("{CONFIG}: not set, expected the file of the configuration")));
+    };
+    let mut config = read_access_config(&file).map_err(Failure::Usage)?;
+    if let Some(listen) = variable(LISTEN) {
+        config.listen = listen.parse::<SocketAddr>().map_err(|_| {
+            Failure::Usage(format!("{LISTEN}: expected an address and a port, got {listen:?}"))
+        })?;
+    }
+    if let Some(name) = variable(NAME) {
+        config.name = name;
+    }
+    let level = variable(LOG).unwrap_or_else(|| "info".to_owned());
+    init_log(LogTo::Output, LogFormat::Text, &level)
+        .map_err(|error| Failure::Usage(format!("{LOG}: {error}")))?;
+    // Heeded from before anybody is told that the node is there.
+    let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(Failure::failed)?;
+    let address = config.listen;
+    let listener =
+        listen_for_callers(address).map_err(|error| Failure::Failed(format!("{address}: {error}")))?;
+    let bound = listener.local_addr().map_err(Failure::failed)?;
+    let settings = AccessSettings { config, file, trace: level.contains("debug") };
+    let stats = serve_access(settings, listener, |mailbox| {
+        println!("listening on {bound}");
+        std::thread::spawn(move || {
+            futures_lite::future::block_on(async {
+                while let Some(signal) = signals.next().await {
+                    let control = match signal {
+                        Ok(Signal::Hup) => AccessControl::Reload,
+                        _ => AccessControl::Stop,
+                    };
+                    if mailbox.send(control).await.is_err() {
+                        return;
+                    }
+                }
+            });
+        });
+    });
+    let stats = stats.map_err(Failure::failed)?;
+    println!(
+        "stopped: {} calls, {} stood, {} refused, {} failed, {} cut",
+        stats.calls, stats.stood, stats.refused, stats.failed, stats.cut
+    );
+    Ok(())
+}
--- a/crates/lemoncleat-cli/src/args.rs
+++ b/crates/lemoncleat-cli/src/args.rs
@@ -20,6 +20,11 @@
 pub enum Command {
     /// Run an access node until it is stopped (SIGTERM or SIGINT).
     Node(NodeArgs),
+    /// Run an access node on the operators' platform, as its environment says.
+    ///
+    /// BALANCER_CONFIG names the file of the configuration, BALANCER_LISTEN and BALANCER_NAME may stand in for what
+    /// it says. The log goes to standard output; LEMONCLEAT_LOG sets its level (debug tells of every call).
+    Access,
     /// Check a settings file and say what is wrong with it.
     Check(CheckArgs),
     /// Play a day of trouble against access nodes on loopback, and judge it.
--- a/crates/lemoncleat-cli/src/lab.rs
+++ b/crates/lemoncleat-cli/src/lab.rs
@@ -7,7 +7,7 @@
 use indicatif::{ProgressBar, ProgressStyle};
 use lemoncleat_cli::start_node;
 use lemoncleat_lab::{builtin, lab_up, CircuitDay, Day, LabMessage, LoadSettings, NodeControl, ServerDay};
-use lemoncleat_service::{init_log, LogFormat};
+use lemoncleat_service::{init_log, LogFormat, LogTo};
 use lemoncleat_settings::{Rate, Span};
 
 use crate::args::{LoadArgs, UpArgs};
@@ -24,7 +24,7 @@
 
 pub fn up(args: &UpArgs) -> Result<(), Failure> {
     if let Some(level) = &args.log {
-        init_log(LogFormat::Text, level).map_err(Failure::Usage)?;
+        init_log(LogTo::Error, LogFormat::Text, level).map_err(Failure::Usage)?;
     }
     let mut day = plain_day(args.servers, args.capacity)?;
     day.circuits = args.circuits.map(|size| CircuitDay {
--- a/crates/lemoncleat-cli/src/main.rs
+++ b/crates/lemoncleat-cli/src/main.rs
@@ -1,5 +1,6 @@
 //! The `lemoncleat` command.
 
+mod access;
 mod args;
 mod cert;
 mod circuits;
@@ -37,6 +38,7 @@
 fn main() -> ExitCode {
     let done = match Args::parse().command {
         Command::Node(args) => node::run(&args),
+        Command::Access => access::run(),
         Command::Check(args) => node::check(&args),
         Command::Rehearse(args) => rehearse::run(&args),
         Command::Simulate(args) => simulate::run(&args),
--- a/crates/lemoncleat-cli/src/node.rs
+++ b/crates/lemoncleat-cli/src/node.rs
@@ -5,7 +5,7 @@
 
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
-use lemoncleat_service::{init_log, read_config, serve, Config, Control, LogFormat};
+use lemoncleat_service::{init_log, read_config, serve, Config, Control, LogFormat, LogTo};
 
 use crate::args::{CheckArgs, NodeArgs};
 use crate::Failure;
@@ -34,7 +34,7 @@
 pub fn run(args: &NodeArgs) -> Result<(), Failure> {
     let config = read(&args.config)?;
     let format = if args.log_json { LogFormat::Json } else { config.log.format };
-    init_log(format, &config.log.filter).map_err(Failure::Usage)?;
+    init_log(LogTo::Error, format, &config.log.filter).map_err(Failure::Usage)?;
     // Heeded from before anybody is told that the node is there.
     let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(Failure::failed)?;
     let mut listeners = Vec::new();
--- a/crates/lemoncleat-cli/src/rehearse.rs
+++ b/crates/lemoncleat-cli/src/rehearse.rs
@@ -9,7 +9,7 @@
     bench_day, builtin, builtin_names, judge, rehearse, table, Capture, Day, NodeControl, TableOptions,
     Verdict,
 };
-use lemoncleat_service::{init_log, LogFormat};
+use lemoncleat_service::{init_log, LogFormat, LogTo};
 
 use crate::args::{JudgeArgs, RehearseArgs};
 use crate::Failure;
@@ -48,7 +48,7 @@
         day.lengthen(length);
     }
     if let Some(level) = &args.log {
-        init_log(LogFormat::Text, level).map_err(Failure::Usage)?;
+        init_log(LogTo::Error, LogFormat::Text, level).map_err(Failure::Usage)?;
     }
     println!(
         "{}: {} nodes, {} servers, {:.0} calls/s for {}, {} troubles, seed {}",
--- a/crates/lemoncleat-node/src/deadline.rs
+++ b/crates/lemoncleat-core/src/deadline.rs
@@ -6,7 +6,7 @@
 /// the module answers by [`Deadline::answer_by`], the node's last guard acts at [`Deadline::last_moment`], and
 /// after [`Deadline::door`] no answer leaves any more.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct Deadline {
+pub struct Deadline {
     at: Micros,
     margin: Micros,
 }
--- a/crates/lemoncleat-lab/src/load.rs
+++ b/crates/lemoncleat-lab/src/load.rs
@@ -337,7 +337,7 @@
                 self.lines[tag as usize].reader = FrameReader::new(MAX_MESSAGE);
                 self.tell(tag as usize, PeerInput::Dialled(ConnId(conn)));
             }
-            Event::DialFailed { tag } => {
+            Event::DialFailed { tag, .. } => {
                 self.tell(tag as usize, PeerInput::DialFailed);
             }
             Event::Closed { conn } => {
--- a/crates/lemoncleat-lab/src/world.rs
+++ b/crates/lemoncleat-lab/src/world.rs
@@ -538,7 +538,7 @@
                 self.owners.insert(conn, Owner::Witness);
                 self.wire.close(conn);
             }
-            Event::DialFailed { tag } if tag >= TAG_WITNESS => {
+            Event::DialFailed { tag, .. } if tag >= TAG_WITNESS => {
                 let node = (tag - TAG_WITNESS) as u16;
                 self.records.push(Record::NoHandshake { at: now, node });
             }
@@ -550,7 +550,7 @@
                 self.fronts[index].reader = FrameReader::new(MAX_MESSAGE);
                 self.tell_front(index, PeerInput::Dialled(ConnId(conn)));
             }
-            Event::DialFailed { tag } => {
+            Event::DialFailed { tag, .. } => {
                 self.tell_front((tag - TAG_FRONT) as usize, PeerInput::DialFailed);
             }
             Event::Bytes { conn, bytes } => self.bytes(now, conn, &bytes),
--- a/crates/lemoncleat-net/src/lib.rs
+++ b/crates/lemoncleat-net/src/lib.rs
@@ -14,6 +14,7 @@
     client_config, proof_config, server_config, Authorities, Identity, MinVersion, TlsError, TlsFiles,
 };
 
+use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -35,6 +36,8 @@
 const QUEUE: usize = 4_096;
 /// Bytes read at once.
 const READ: usize = 64 * 1024;
+/// Bytes that a connection being hung up on may still send before it is closed.
+const DRAIN: usize = 128 << 20;
 /// How long a closed connection may take to write what it still holds.
 const LINGER: Duration = Duration::from_secs(2);
 /// How long a look at all sockets waits for the reactor.
@@ -65,6 +68,8 @@
     DialFailed {
         /// The dial's tag.
         tag: u64,
+        /// The machine answered that nobody listens there.
+        refused: bool,
     },
     /// Bytes came.
     Bytes {
@@ -163,8 +168,30 @@
     time: Duration,
 }
 
+/// What a loop may hold.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// Events that may wait before reading stops.
+    pub queue: usize,
+    /// Bytes read at once; all connections share one buffer of this size.
+    pub read: usize,
+    /// Connections being hung up on at once; further ones are closed without waiting.
+    pub hung_up: usize,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Bounds { queue: QUEUE, read: READ, hung_up: 256 }
+    }
+}
+
 /// The connections of one loop.
 pub struct Net<M> {
+    bounds: Bounds,
+    /// What all readers read into.
+    buffer: Rc<RefCell<Vec<u8>>>,
+    /// Connections being hung up on.
+    hung_up: Rc<Cell<usize>>,
     executor: Rc<LocalExecutor<'static>>,
     sender: Sender<Raw<M>>,
     events: Receiver<Raw<M>>,
@@ -185,15 +212,23 @@
 
 /// Runs a loop to its end on the present thread.
 pub fn run<M: 'static, T>(body: impl AsyncFnOnce(Net<M>) -> T) -> T {
+    run_bounded(Bounds::default(), body)
+}
+
+/// Runs a loop that holds no more than its bounds say.
+pub fn run_bounded<M: 'static, T>(bounds: Bounds, body: impl AsyncFnOnce(Net<M>) -> T) -> T {
     let executor = Rc::new(LocalExecutor::new());
-    let net = Net::new(executor.clone());
+    let net = Net::new(executor.clone(), bounds);
     async_io::block_on(executor.run(body(net)))
 }
 
 impl<M: 'static> Net<M> {
-    fn new(executor: Rc<LocalExecutor<'static>>) -> Self {
-        let (sender, events) = async_channel::bounded(QUEUE);
+    fn new(executor: Rc<LocalExecutor<'static>>, bounds: Bounds) -> Self {
+        let (sender, events) = async_channel::bounded(bounds.queue);
         Net {
+            bounds,
+            buffer: Rc::new(RefCell::new(vec![0; bounds.read])),
+            hung_up: Rc::new(Cell::new(0)),
             executor,
             sender,
             events,
@@ -316,14 +351,19 @@
         let _ = stream.get_ref().set_nodelay(true);
         let stream = Arc::new(stream);
         let (reading, sender) = (stream.clone(), self.sender.clone());
+        let buffer = self.buffer.clone();
         let reader = self.executor.spawn(async move {
-            let mut buffer = vec![0; READ];
             loop {
-                // The loop below reads only when the reactor says so, or at once if something is there.
-                let read = reading.read_with(|mut socket| socket.read(&mut buffer)).await;
-                let raw = match read {
-                    Ok(0) | Err(_) => Raw::Closed(id),
-                    Ok(count) => Raw::Bytes(id, buffer[..count].to_vec()),
+                // The loop below reads only when the reactor says so, or at once if something is there. Nothing is
+                // held of the shared buffer across a wait.
+                let read = reading.read_with(|mut socket| {
+                    let mut buffer = buffer.borrow_mut();
+                    let count = socket.read(&mut buffer)?;
+                    Ok(buffer[..count].to_vec())
+                });
+                let raw = match read.await {
+                    Ok(bytes) if !bytes.is_empty() => Raw::Bytes(id, bytes),
+                    _ => Raw::Closed(id),
                 };
                 let last = matches!(raw, Raw::Closed(_));
                 if sender.send(raw).await.is_err() || last {
@@ -448,6 +488,48 @@
             .detach();
     }
 
+    /// Closes a connection so that what was given for it is read, although the other side may go on sending:
+    /// writes, ends the own half, and reads and drops what comes for a bounded while. It is not heard of again.
+    pub fn hang_up(&mut self, conn: u64) {
+        if self.hung_up.get() >= self.bounds.hung_up || self.conns.get(&conn).is_none_or(|c| c.tls.is_some())
+        {
+            return self.close(conn);
+        }
+        self.write(conn);
+        let Some(state) = self.conns.remove(&conn) else { return };
+        let (stream, waiting) = (state.stream, state.waiting);
+        let (buffer, count) = (self.buffer.clone(), self.hung_up.clone());
+        count.set(count.get() + 1);
+        self.executor
+            .spawn(async move {
+                let end = async {
+                    let mut done = 0;
+                    while done < waiting.len() {
+                        match stream.write_with(|mut socket| socket.write(&waiting[done..])).await {
+                            Ok(count) if count > 0 => done += count,
+                            _ => return,
+                        }
+                    }
+                    let _ = stream.get_ref().shutdown(Shutdown::Write);
+                    let mut dropped = 0;
+                    while dropped < DRAIN {
+                        match stream.read_with(|mut socket| socket.read(&mut buffer.borrow_mut())).await {
+                            Ok(count) if count > 0 => dropped += count,
+                            _ => return,
+                        }
+                        // Whoever sends at full speed must not keep the others from their turn.
+                        future::yield_now().await;
+                    }
+                };
+                let late = async {
+                    Timer::after(LINGER).await;
+                };
+                end.or(late).await;
+                count.set(count.get() - 1);
+            })
+            .detach();
+    }
+
     /// Closes a connection at once with a reset, as a process that was killed would.
     pub fn abort(&mut self, conn: u64) {
         if let Some(state) = self.conns.remove(&conn) {
@@ -488,7 +570,7 @@
         self.close(conn);
         match origin {
             Origin::Accepted(_) => None,
-            Origin::Dialled(tag) => Some(Event::DialFailed { tag }),
+            Origin::Dialled(tag) => Some(Event::DialFailed { tag, refused: false }),
         }
     }
 
@@ -558,12 +640,15 @@
                             return Some(Event::Dialled { tag, conn: self.add(stream, None) });
                         };
                         let Ok(session) = Session::client(config, name) else {
-                            return Some(Event::DialFailed { tag });
+                            return Some(Event::DialFailed { tag, refused: false });
                         };
                         self.handshake(stream, session, Origin::Dialled(tag), time);
                         return None;
                     }
-                    Err(_) => Event::DialFailed { tag },
+                    Err(error) => {
+                        let refused = error.kind() == io::ErrorKind::ConnectionRefused;
+                        Event::DialFailed { tag, refused }
+                    }
                 }
             }
             Raw::Bytes(conn, bytes) => {
--- a/crates/lemoncleat-net/tests/tls.rs
+++ b/crates/lemoncleat-net/tests/tls.rs
@@ -111,7 +111,7 @@
         match net.next(None).await {
             Some(Event::Accepted { tag: 7, conn }) => accepted = Some(conn),
             Some(Event::Dialled { tag: 9, conn }) => dialled = Some(conn),
-            Some(Event::DialFailed { tag: 9 }) => return (accepted, None),
+            Some(Event::DialFailed { tag: 9, .. }) => return (accepted, None),
             // In TLS 1.3 a client is done before its certificate is refused.
             Some(Event::Closed { conn }) if Some(conn) == dialled => return (accepted, None),
             _ => {}
--- a/crates/lemoncleat-node/src/call.rs
+++ b/crates/lemoncleat-node/src/call.rs
@@ -5,9 +5,9 @@
 use lemoncleat::ServerId;
 use lemoncleat_diameter::EndToEnd;
 
-use crate::deadline::Deadline;
 use crate::node::PeerId;
 use crate::{ConnId, Micros, TimerKey};
+use lemoncleat_core::Deadline;
 
 /// A call that came from a client and has not ended.
 #[derive(Debug)]
--- a/crates/lemoncleat-node/src/lib.rs
+++ b/crates/lemoncleat-node/src/lib.rs
@@ -8,7 +8,7 @@
 //! [`NumberingPlan`] finds the class and pool of first choice of a number, [`Wheel`] holds the timers.
 
 mod call;
-mod deadline;
+
 mod list;
 mod node;
 mod notice;
@@ -16,7 +16,6 @@
 mod servers;
 mod settings;
 mod translate;
-mod wheel;
 
 pub use list::{ListEntry, ListNews};
 pub use node::{CircuitOrder, CircuitStatus, GroupStatus, Input, Node, Output, PeerId, Stats};
@@ -25,7 +24,7 @@
 pub use settings::{CircuitSettings, NodeSettings, Timing};
 
 pub use lemoncleat_circuits as circuits;
-pub use wheel::{TimerKey, Wheel};
+pub use lemoncleat_core::{TimerKey, Wheel};
 
 pub use lemoncleat::Availability;
 pub use lemoncleat_diameter::{Backoff, ConnId, FrameReader, Micros, WATCHDOG_FLOOR};
--- a/crates/lemoncleat-node/src/node/mod.rs
+++ b/crates/lemoncleat-node/src/node/mod.rs
@@ -29,12 +29,12 @@
 use rustc_hash::FxHashMap;
 
 use crate::call::{Attempt, Call, Request};
-use crate::deadline::Deadline;
 use crate::list::ListNews;
 use crate::notice::{CallStep, Notice};
 use crate::servers::Servers;
 use crate::settings::NodeSettings;
 use crate::{translate, Micros, TimerKey, Wheel};
+use lemoncleat_core::Deadline;
 
 /// A peer, as numbered by the node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- /dev/null
+++ b/crates/lemoncleat-platform/src/journal.rs
@@ -0,0 +1,103 @@
+//! The lines of the journal service.
+
+use lemoncleat::Availability;
+use serde::Deserialize;
+
+use crate::list::{Endpoint, ListedServer, ServerNews};
+
+/// An event, on its line or in a node's configuration.
+#[derive(Deserialize)]
+pub(crate) struct EventConfig {
+    pos: u64,
+    hosts: Option<HostsConfig>,
+}
+
+#[derive(Deserialize)]
+struct HostsConfig {
+    #[serde(default)]
+    snapshot: bool,
+    #[serde(default)]
+    endpoints: Vec<EndpointConfig>,
+}
+
+#[derive(Deserialize)]
+struct EndpointConfig {
+    name: String,
+    address: std::net::SocketAddr,
+    #[serde(default)]
+    zone: String,
+    #[serde(default, rename = "type")]
+    kind: String,
+    #[serde(default = "no_place")]
+    group: i64,
+    status: StatusConfig,
+    #[serde(default)]
+    since_ms: f64,
+}
+
+fn no_place() -> i64 {
+    -1
+}
+
+#[derive(Clone, Copy, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum StatusConfig {
+    Up,
+    Draining,
+    Removed,
+}
+
+/// A line of the journal service.
+#[derive(Clone, Debug, PartialEq)]
+pub enum JournalLine {
+    /// The number of the last event there is.
+    Last(u64),
+    /// An event; without news where it is of a kind that says nothing of servers.
+    Event(u64, Option<ServerNews>),
+}
+
+impl EventConfig {
+    pub(crate) fn translate(self) -> (u64, Option<ServerNews>) {
+        let news = self.hosts.map(|hosts| ServerNews {
+            complete: hosts.snapshot,
+            endpoints: hosts.endpoints.into_iter().map(EndpointConfig::translate).collect(),
+        });
+        (self.pos, news)
+    }
+}
+
+impl EndpointConfig {
+    fn translate(self) -> Endpoint {
+        let since = if self.since_ms.is_finite() && self.since_ms > 0.0 { self.since_ms } else { 0.0 };
+        Endpoint {
+            server: ListedServer {
+                name: self.name,
+                started_at: (since > 0.0).then_some((since * 1000.0) as i64),
+                availability: match self.status {
+                    StatusConfig::Up => Availability::Ready,
+                    StatusConfig::Draining => Availability::Draining,
+                    StatusConfig::Removed => Availability::Gone,
+                },
+                place: self.group,
+                zone: self.zone,
+                kind: self.kind,
+            },
+            address: self.address,
+        }
+    }
+}
+
+/// Reads a line without its end.
+///
+/// # Errors
+///
+/// When it is neither an event nor a number.
+pub fn read_line(line: &str) -> Result<JournalLine, String> {
+    let line = line.trim();
+    if let Ok(last) = line.parse() {
+        return Ok(JournalLine::Last(last));
+    }
+    let event: EventConfig = crate::json::read(line)?;
+    let (pos, news) = event.translate();
+    Ok(JournalLine::Event(pos, news))
+}
--- /dev/null
+++ b/crates/lemoncleat-platform/src/json.rs
@@ -0,0 +1,18 @@
+//! JSON with the path of the field in every complaint.
+
+use serde::de::DeserializeOwned;
+
+/// Reads a whole text.
+pub(crate) fn read<T: DeserializeOwned>(text: &str) -> Result<T, String> {
+    let mut json = serde_json::Deserializer::from_str(text);
+    let value = serde_path_to_error::deserialize(&mut json).map_err(|error| {
+        let path = error.path().to_string();
+        if path == "." {
+            error.inner().to_string()
+        } else {
+            format!("{path}: {}", error.inner())
+        }
+    })?;
+    json.end().map_err(|error| error.to_string())?;
+    Ok(value)
+}
--- a/crates/lemoncleat-service/src/lib.rs
+++ b/crates/lemoncleat-service/src/lib.rs
@@ -1,15 +1,18 @@
 //! Runs an access node: listeners, connections, the feed of the list of servers, the clock and the log
-//! around the core of `lemoncleat-node`. Nothing is decided here.
+//! around the core of `lemoncleat-node`, or around that of `lemoncleat-access` on the operators' platform. Nothing
+//! is decided here.
 
+mod access;
 mod config;
 mod control;
 mod feed;
 mod log;
 mod service;
 
+pub use access::{listen_for_callers, read_access_config, serve_access, AccessControl, AccessSettings};
 pub use config::{read as read_config, Config, ConfigError, LogConfig};
 pub use feed::{parse_line, FeedError, FeedLine};
-pub use log::{init as init_log, LogFormat};
+pub use log::{init as init_log, LogFormat, LogTo};
 pub use service::{
     serve, spawn, Control, Running, ServiceError, ServiceSettings, Started, TlsSettings, TlsSource,
 };
--- a/crates/lemoncleat-service/src/log.rs
+++ b/crates/lemoncleat-service/src/log.rs
@@ -16,16 +16,28 @@
     Json,
 }
 
-/// Sends the log to standard error. `filter` is a level or a list of directives as tracing has them
+/// Where the log goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LogTo {
+    /// Standard error.
+    Error,
+    /// Standard output.
+    Output,
+}
+
+/// Sends the log there. `filter` is a level or a list of directives as tracing has them
 /// (`info`, `lemoncleat=debug`).
 ///
 /// # Errors
 ///
 /// When the filter is not understood, or a log is set up already.
-pub fn init(format: LogFormat, filter: &str) -> Result<(), String> {
+pub fn init(to: LogTo, format: LogFormat, filter: &str) -> Result<(), String> {
     let filter = EnvFilter::try_new(filter).map_err(|error| format!("log filter {filter:?}: {error}"))?;
-    let builder =
-        tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).with_target(false);
+    let writer = move || match to {
+        LogTo::Error => Box::new(std::io::stderr()) as Box<dyn std::io::Write>,
+        LogTo::Output => Box::new(std::io::stdout()),
+    };
+    let builder = tracing_subscriber::fmt().with_env_filter(filter).with_writer(writer).with_target(false);
     let done = match format {
         LogFormat::Text => builder.try_init(),
         LogFormat::Json => builder.json().flatten_event(true).try_init(),
--- a/crates/lemoncleat-service/src/service.rs
+++ b/crates/lemoncleat-service/src/service.rs
@@ -476,7 +476,7 @@
             Event::Bytes { conn, bytes } if self.operators.contains_key(&conn) => self.operator(conn, &bytes),
             Event::Closed { conn } if self.operators.remove(&conn).is_some() => {}
             Event::Dialled { tag, conn } => self.handle(Input::Dialled(PeerId(tag as u32), ConnId(conn))),
-            Event::DialFailed { tag } => self.handle(Input::DialFailed(PeerId(tag as u32))),
+            Event::DialFailed { tag, .. } => self.handle(Input::DialFailed(PeerId(tag as u32))),
             Event::Bytes { conn, bytes } => {
                 for slice in bytes.chunks(SLICE) {
                     self.handle(Input::Bytes(ConnId(conn), slice));
--- a/crates/lemoncleat-service/tests/tls.rs
+++ b/crates/lemoncleat-service/tests/tls.rs
@@ -73,7 +73,7 @@
         match self.net.next(None).await {
             Some(Event::Accepted { conn, .. }) => self.accepted.push(conn),
             Some(Event::Dialled { tag, conn }) => drop(self.dialled.insert(tag, Some(conn))),
-            Some(Event::DialFailed { tag }) => drop(self.dialled.insert(tag, None)),
+            Some(Event::DialFailed { tag, .. }) => drop(self.dialled.insert(tag, None)),
             Some(Event::Closed { conn }) => self.closed.push(conn),
             Some(Event::Bytes { conn, bytes }) => {
                 let reader = self.readers.entry(conn).or_insert_with(|| FrameReader::new(1 << 16));
--- a/crates/lemoncleat-simulate/src/simulation.rs
+++ b/crates/lemoncleat-simulate/src/simulation.rs
@@ -511,7 +511,7 @@
                 let at = self.now + self.delay();
                 match node {
                     Some(node) => self.push(at, To::WorldDial(node, tag, dial)),
-                    None => self.push(at, To::World(Event::DialFailed { tag })),
+                    None => self.push(at, To::World(Event::DialFailed { tag, refused: true })),
                 }
             }
             Command::StopDial(tag) => drop(self.world_dials.remove(&tag)),
--- a/crates/lemoncleat-wirehost/src/main.rs
+++ b/crates/lemoncleat-wirehost/src/main.rs
@@ -1,6 +1,5 @@
 //! Hosts controllers on the simulator's wire: reads batches of events, prints one reply a batch.
 
-mod settings;
 mod wire;
 
 use std::io::{self, BufRead, BufWriter, Write};
--- a/crates/lemoncleat-wirehost/src/wire.rs
+++ b/crates/lemoncleat-wirehost/src/wire.rs
@@ -5,36 +5,17 @@
 use std::str::FromStr;
 
 use lemoncleat::{
-    Action, Availability, Call, CallId, Controller, Event, Member, MemberNews, Micros, Outcome, Reason,
-    Report, ServerId,
+    Action, Availability, Call, CallId, Controller, Event, Member, MemberNews, Micros, Outcome, Report,
+    ServerId,
 };
 
-use crate::settings;
+use lemoncleat_platform::{reason_of_code, set_figure, ListedServer, Names, SiteSettings};
 
 /// Bits of an `ingress`.
 const REDIALLED: u32 = 2;
 const IN_TRANSIT: u32 = 8;
 const CUT: u32 = 16;
 
-/// Names given numbers in the order of their first appearance.
-#[derive(Default)]
-struct Names {
-    numbers: BTreeMap<String, u32>,
-    names: Vec<String>,
-}
-
-impl Names {
-    fn number(&mut self, name: &str) -> u32 {
-        if let Some(&number) = self.numbers.get(name) {
-            return number;
-        }
-        let number = self.names.len() as u32;
-        self.numbers.insert(name.to_owned(), number);
-        self.names.push(name.to_owned());
-        number
-    }
-}
-
 /// One access node and the names it has heard.
 struct Instance {
     controller: Controller,
@@ -46,17 +27,6 @@
     calls: Names,
 }
 
-/// A server as a list tells of it.
-#[derive(Clone)]
-struct Entry {
-    started_at: Option<Micros>,
-    availability: Availability,
-    place: i64,
-    zone: String,
-    kind: String,
-    server: String,
-}
-
 /// A list whose entries are still coming in.
 struct OpenTable {
     number: u8,
@@ -67,7 +37,7 @@
 #[derive(Default)]
 pub struct Host {
     instances: BTreeMap<u32, Instance>,
-    tables: BTreeMap<u8, Vec<Entry>>,
+    tables: BTreeMap<u8, Vec<ListedServer>>,
     open_table: Option<OpenTable>,
     now: Option<Micros>,
     current: Option<u32>,
@@ -201,9 +171,9 @@
         let place = fields.number_or("place_no", -1)?;
         let zone = fields.optional("region_part")?.unwrap_or_default().to_owned();
         let kind = fields.optional("sku")?.unwrap_or_default().to_owned();
-        let server = fields.text("server")?.to_owned();
+        let name = fields.text("server")?.to_owned();
         let started_at = (started_at != 0).then_some(started_at);
-        let entry = Entry { started_at, availability, place, zone, kind, server };
+        let entry = ListedServer { name, started_at, availability, place, zone, kind };
         self.tables.entry(open.number).or_default().push(entry);
         open.missing -= 1;
         if open.missing == 0 {
@@ -215,17 +185,14 @@
     fn attach(&mut self, fields: &mut Fields) -> Result<(), String> {
         let who = self.who("attach")?;
         let seed = fields.number::<u64>("nonce64")?;
-        let parsed = settings::parse(fields.remainder("config")?)?;
-        let mut zones = Names::default();
-        for zone in &parsed.zones {
-            zones.number(zone);
-        }
+        let site = SiteSettings::read(fields.remainder("config")?)
+            .map_err(|error| format!("expected the settings as JSON: {error}"))?;
         let instance = Instance {
-            controller: Controller::new(parsed.settings, seed).map_err(|error| error.to_string())?,
-            classes: parsed.classes,
-            zones,
+            controller: Controller::new(site.module, seed).map_err(|error| error.to_string())?,
+            classes: site.classes,
+            zones: site.zones.iter().collect(),
             kinds: Names::default(),
-            report: parsed.report,
+            report: site.report,
             servers: Names::default(),
             calls: Names::default(),
         };
@@ -262,7 +229,11 @@
         ServerId(self.servers.number(name))
     }
 
-    fn event(&mut self, fields: &mut Fields, tables: &BTreeMap<u8, Vec<Entry>>) -> Result<Event, String> {
+    fn event(
+        &mut self,
+        fields: &mut Fields,
+        tables: &BTreeMap<u8, Vec<ListedServer>>,
+    ) -> Result<Event, String> {
         Ok(match fields.message {
             "members" => self.members(fields, tables)?,
             "ingress" => self.ingress(fields)?,
@@ -280,7 +251,7 @@
                 let outcome = outcome(fields.text("disposition")?)?;
                 let lag = fields.number_or("lag_us", 0)?;
                 let closed = fields.flag("final")?;
-                let reason = reason(fields.number_or("clear_code", 0)?);
+                let reason = reason_of_code(fields.number_or("clear_code", 0)?);
                 let report = self.report(fields)?;
                 Event::Ended { call, attempt, server, outcome, lag, closed, reason, report }
             }
@@ -305,7 +276,11 @@
         })
     }
 
-    fn members(&mut self, fields: &mut Fields, tables: &BTreeMap<u8, Vec<Entry>>) -> Result<Event, String> {
+    fn members(
+        &mut self,
+        fields: &mut Fields,
+        tables: &BTreeMap<u8, Vec<ListedServer>>,
+    ) -> Result<Event, String> {
         let how = fields.text("how")?;
         if how == "X" {
             return Ok(Event::Members(MemberNews::Failed));
@@ -322,15 +297,9 @@
         }
     }
 
-    fn member(&mut self, entry: &Entry) -> Member {
-        Member {
-            server: self.server(&entry.server),
-            availability: entry.availability,
-            started_at: entry.started_at,
-            place: entry.place,
-            zone: self.zones.number(&entry.zone),
-            kind: self.kinds.number(&entry.kind),
-        }
+    fn member(&mut self, entry: &ListedServer) -> Member {
+        let server = self.server(&entry.name);
+        entry.member(server, &mut self.zones, &mut self.kinds)
     }
 
     fn ingress(&mut self, fields: &mut Fields) -> Result<Event, String> {
@@ -367,25 +336,14 @@
         let Some(text) = fields.optional("report")? else { return Ok(report) };
         for (name, value) in self.report.iter().zip(text.split(',')) {
             let figure: f64 = fields.parsed("report", value)?;
-            let figure = (figure.is_finite() && figure >= 0.0).then_some(figure);
-            match name.as_str() {
-                "spare" => report.free = figure,
-                "total" => report.lines = figure,
-                "waiting" => report.queue = figure,
-                "active" => report.active = figure,
-                "cpu" => report.busy = figure,
-                "avg_ms" => report.wait = figure.map(|ms| (ms * 1000.0) as Micros),
-                "allowed" => report.allowed = figure,
-                "cut_by" => report.cut_by = figure,
-                _ => {}
-            }
+            set_figure(&mut report, name, figure);
         }
         Ok(report)
     }
 
     fn print(&self, action: Action, reply: &mut String) {
-        let call = |id: CallId| self.calls.names.get(id.0 as usize).map_or("-", String::as_str);
-        let server = |id: ServerId| self.servers.names.get(id.0 as usize).map_or("-", String::as_str);
+        let call = |id: CallId| self.calls.name(id.0).unwrap_or("-");
+        let server = |id: ServerId| self.servers.name(id.0.into()).unwrap_or("-");
         // Writing to a String cannot fail.
         let _ = match action {
             Action::Send { call: id, server: to, timeout } => {
@@ -423,18 +381,6 @@
     })
 }
 
-fn reason(code: i64) -> Reason {
-    // The low four bits tell the kind; above them stands a wait, or one bit of detail.
-    let detail = code >> 4;
-    match code & 15 {
-        1 => Reason::NoCircuit,
-        2 => Reason::TurnedBack { far_processor: detail & 1 == 1 },
-        3 => Reason::ProcessorFull { wait: detail.max(0).saturating_mul(1000) },
-        4 => Reason::LinesBusy,
-        _ => Reason::None,
-    }
-}
-
 fn from_hex(text: &str) -> Option<Vec<u8>> {
     if !text.len().is_multiple_of(2) || !text.is_ascii() {
         return None;
