A server that holds calls gets a new connection when one is lost, and every two seconds

By reading, two ways remained by which a release is lost for good: what a server wrote to a connection that the node closed (idle, spoilt, stopped short: drop_server_conn, sweep_servers), and what it wrote to one that silently died; the protocol tells such releases again on the next connection that is opened, and none was as long as others were open (mind_server, CHECK). Ruled out: a release that found no caller's connection (the tables show none waiting). Change: a lost connection of a server that holds calls is followed by a dial at once, every two seconds one is opened anew, and none on which a standing call was set up is closed as idle.

--- a/crates/lemoncleat-access/src/calls.rs
+++ b/crates/lemoncleat-access/src/calls.rs
@@ -401,14 +401,14 @@
     }
 
     fn stand(&mut self, id: CallId, standing: Standing) {
-        self.servers.stands(standing.server, 1);
+        self.servers.stands(standing.server, standing.server_conn, 1);
         self.standing.insert(id, standing);
     }
 
     /// A call that stood is over; its sides are the caller's business.
     pub(crate) fn end_standing(&mut self, id: CallId, outcome: Outcome, report: Report) -> Option<Standing> {
         let standing = self.standing.remove(&id)?;
-        self.servers.stands(standing.server, -1);
+        self.servers.stands(standing.server, standing.server_conn, -1);
         if outcome != Outcome::Ok {
             self.stats.cut += 1;
         }
--- a/crates/lemoncleat-access/src/servers.rs
+++ b/crates/lemoncleat-access/src/servers.rs
@@ -29,8 +29,8 @@
     standing: usize,
     /// Releases to write once there is a connection: id, number called, cause.
     owed: Vec<(String, String, u16)>,
-    /// When it was heard last.
-    heard_at: Micros,
+    /// When a connection to it came up last: what it could not tell before, it told then.
+    fresh_at: Micros,
     /// Since when dials fail.
     unreachable: Option<Micros>,
     pause: Micros,
@@ -45,6 +45,8 @@
     reader: Reader,
     /// Set-ups open on it.
     open: BTreeSet<CallId>,
+    /// Calls that stand and were set up on it: their releases come here.
+    standing: usize,
     /// A set-up timed out on it in silence: no more of them.
     suspect: bool,
     opened_at: Micros,
@@ -123,10 +125,14 @@
         self.all.get(&server).is_some_and(|server| !server.displaced || !server.conns.is_empty())
     }
 
-    pub(crate) fn stands(&mut self, server: ServerId, change: isize) {
+    /// A call begins (1) or ends (-1) to stand at a server, set up on a connection.
+    pub(crate) fn stands(&mut self, server: ServerId, conn: Option<ConnId>, change: isize) {
         if let Some(server) = self.all.get_mut(&server) {
             server.standing = server.standing.saturating_add_signed(change);
         }
+        if let Some(conn) = conn.and_then(|conn| self.conns.get_mut(&conn)) {
+            conn.standing = conn.standing.saturating_add_signed(change);
+        }
     }
 
     /// A set-up was written on a connection.
@@ -247,7 +253,7 @@
             dials: BTreeSet::new(),
             standing: 0,
             owed: Vec::new(),
-            heard_at: self.now,
+            fresh_at: self.now,
             unreachable: None,
             pause: REDIAL.0,
             dial_at: self.now,
@@ -347,12 +353,13 @@
         server.dials.remove(&dial);
         server.conns.insert(conn);
         (server.unreachable, server.pause) = (None, REDIAL.0);
-        server.heard_at = now;
+        server.fresh_at = now;
         let owed = std::mem::take(&mut server.owed);
         let state = ServerConn {
             server: done.server,
             reader: Reader::new(),
             open: BTreeSet::new(),
+            standing: 0,
             suspect: false,
             opened_at: now,
             heard_at: now,
@@ -423,6 +430,17 @@
             self.end_attempt(call, Outcome::Reset, Reason::None, Report::default());
         }
         self.mind_server(id);
+        self.refresh(id);
+    }
+
+    /// A server that holds calls gets a new connection: releases that went the way of a lost one come on it again.
+    fn refresh(&mut self, id: ServerId) {
+        let needed = self.servers.all.get(&id).is_some_and(|server| {
+            server.standing > 0 && server.dials.is_empty() && !server.displaced && self.now >= server.dial_at
+        });
+        if needed {
+            self.dial_server(id);
+        }
     }
 
     /// Closes a connection that is suspect once nothing is open on it.
@@ -523,7 +541,6 @@
                     let server = state.server;
                     (state.heard_at, state.suspect, state.partial) = (now, false, None);
                     if let Some(server) = self.servers.all.get_mut(&server) {
-                        server.heard_at = now;
                         server.unreachable = None;
                     }
                     self.server_message(conn, server, message);
@@ -606,7 +623,7 @@
         if (200..300).contains(&code) && !out_there && !stands_there {
             self.trace_id(id, "answered after it was given up: released");
             if let Some((text, _)) = invite::id(message) {
-                self.write_release(conn, &text.to_owned(), "late", 16);
+                self.write_release(conn, text, "late", 16);
             }
         }
     }
@@ -667,7 +684,9 @@
         let mut stuck = Vec::new();
         for (&id, conn) in &self.servers.conns {
             let own = self.servers.all.get(&conn.server).map_or(0, |server| server.conns.len());
-            let idle = conn.open.is_empty() && now - conn.used_at.max(conn.opened_at) > IDLE_SERVER;
+            let idle = conn.open.is_empty()
+                && conn.standing == 0
+                && now - conn.used_at.max(conn.opened_at) > IDLE_SERVER;
             if conn.partial.is_some_and(|since| now - since > PARTIAL_ANSWER) {
                 stuck.push((id, "a message stopped short"));
             } else if idle && own > KEPT {
@@ -684,16 +703,12 @@
         for id in all {
             let Some(server) = self.servers.all.get(&id) else { continue };
             let held = server.standing > 0;
-            let quiet =
-                held && now - server.heard_at > CHECK && server.dials.is_empty() && now >= server.dial_at;
+            let stale = held && now - server.fresh_at > CHECK;
             let vanished = server.unreachable.is_some_and(|since| now - since > VANISHED);
             if held && vanished {
                 self.lose_standing(id, Micros::MAX, "it can't be reached");
-            } else if quiet && !server.displaced {
-                if let Some(server) = self.servers.all.get_mut(&id) {
-                    server.dial_at = now + CHECK;
-                }
-                self.dial_server(id);
+            } else if stale {
+                self.refresh(id);
             }
             self.mind_server(id);
         }
--- a/crates/lemoncleat-access/src/timing.rs
+++ b/crates/lemoncleat-access/src/timing.rs
@@ -26,7 +26,8 @@
 pub const DIAL: Micros = 500 * MS;
 /// Pauses between dials to a server that has no connection: the first, and the longest.
 pub const REDIAL: (Micros, Micros) = (50 * MS, SECOND);
-/// A server that holds calls and has said nothing for this long is dialled, to hear whether it is there.
+/// A server that holds calls gets a new connection this often: a release that went out on one that has silently
+/// died comes on it again, and a machine that has vanished shows.
 pub const CHECK: Micros = 2 * SECOND;
 /// A server that can't be reached, and says nothing, for this long has lost its calls.
 pub const VANISHED: Micros = 4 * SECOND;
--- a/crates/lemoncleat-access/tests/servers.rs
+++ b/crates/lemoncleat-access/tests/servers.rs
@@ -169,6 +169,34 @@
     assert_eq!(methods(&world.read(caller)), [Method::Bye]);
 }
 
+/// A release that its server wrote to a connection which was no more is told again on the next one: there must be a
+/// next one, soon, although others are open.
+#[test]
+fn a_server_that_holds_calls_gets_a_new_connection_when_one_is_lost_and_now_and_then() {
+    let mut world = World::new();
+    let caller = world.caller();
+    let (server, conn) = world.standing_call(caller, ID);
+    world.standing_call(caller, "00000000000000b7");
+    for spoilt in [false, true] {
+        let before = world.every.len();
+        let lost = world.to(server)[0];
+        if spoilt {
+            world.bytes(lost, b"\x01\x02\r\n\r\n");
+        } else {
+            world.close(lost);
+        }
+        assert!(world.every[before..].iter().any(|(to, _)| *to == server), "spoilt: {spoilt}");
+    }
+    let before = world.every.len();
+    world.pass(3 * SECOND);
+    assert!(world.every[before..].iter().any(|(to, _)| *to == server), "one may be dead and not show it");
+    let next = *world.to(server).last().expect("a connection");
+    assert_ne!(next, conn);
+    world.read(caller);
+    world.bytes(next, &bye(ID, 16));
+    assert_eq!(methods(&world.read(caller)), [Method::Bye]);
+}
+
 #[test]
 fn no_set_up_goes_out_on_a_connection_that_fell_silent() {
     let mut world = World::new();
