Answers are matched by call and connection: second attempts had never been heard

Cause: the platform's servers put 1 into every CSeq; server_answers (servers.rs) wanted the attempt's own number, so answers from the second attempt on were nobody's, and their calls stood at servers without a caller until they ended. Change: the connection tells which attempt an answer is for; no attempt goes out on a connection on which an earlier one of the call was given up without an answer (spent). Only dials that time out count toward a vanished machine. Tests for each.

--- a/crates/lemoncleat-access/src/calls.rs
+++ b/crates/lemoncleat-access/src/calls.rs
@@ -24,6 +24,8 @@
     pub(crate) attempt: Option<Attempt>,
     /// How many there were.
     pub(crate) attempts: u32,
+    /// Connections on which one was given up without an answer.
+    pub(crate) spent: Vec<ConnId>,
 }
 
 /// An attempt that is out.
@@ -107,6 +109,7 @@
             guard,
             attempt: None,
             attempts: 0,
+            spent: Vec::new(),
         };
         self.trace(&call.id, || {
             format!("set-up of class {} for {} ms", invite.class, invite.patience / 1000)
@@ -315,7 +318,8 @@
     fn give_up(&mut self, id: CallId) -> Option<Attempt> {
         let attempt = self.calls.get(&id)?.attempt?;
         if let Carrier::Conn(conn) = attempt.carrier {
-            let call = self.calls.get(&id)?;
+            let call = self.calls.get_mut(&id)?;
+            call.spent.push(conn);
             let bytes =
                 dialog(Method::Cancel, &self.name, &call.id, &call.called, attempt.number + 1).finish(b"");
             let (text, called) = (call.id.clone(), call.called.clone());
--- a/crates/lemoncleat-access/src/servers.rs
+++ b/crates/lemoncleat-access/src/servers.rs
@@ -168,8 +168,9 @@
     }
 
     /// A connection for a set-up: one with nothing open on it, else a new one, else the one with the least.
-    fn choose(&self, server: ServerId) -> Option<ConnId> {
-        let own = self.all.get(&server)?.conns.iter();
+    /// None of `spent`, on which the call's answers could be taken for one another.
+    fn choose(&self, server: ServerId, spent: &[ConnId]) -> Option<ConnId> {
+        let own = self.all.get(&server)?.conns.iter().filter(|conn| !spent.contains(conn));
         let sound =
             own.filter_map(|id| self.conns.get(id).map(|conn| (*id, conn))).filter(|(_, c)| !c.suspect);
         // Of several with nothing open, the one heard last is the surest to be there.
@@ -297,7 +298,8 @@
 
     /// What an attempt goes out on; `None` where there is nothing and no room for it.
     pub(crate) fn carrier(&mut self, server: ServerId, call: CallId) -> Option<Carrier> {
-        let best = self.servers.choose(server);
+        let spent = self.calls.get(&call).map_or(&[][..], |call| &call.spent);
+        let best = self.servers.choose(server, spent);
         let free = best.and_then(|id| self.servers.conns.get(&id)).is_some_and(|conn| conn.open.is_empty());
         if let (Some(conn), true) = (best, free || !self.servers.room(server)) {
             return Some(Carrier::Conn(conn));
@@ -379,12 +381,14 @@
         let now = self.now;
         let Some(failed) = self.servers.dials.remove(&dial) else { return };
         let id = failed.server;
-        let mut first = false;
-        let mut dead = false;
+        let (mut first, mut dead) = (false, false);
         if let Some(server) = self.servers.all.get_mut(&id) {
             server.dials.remove(&dial);
-            first = server.unreachable.is_none();
-            server.unreachable.get_or_insert(now);
+            first = server.unreachable.is_none() && server.pause == REDIAL.0;
+            if !refused {
+                // A machine that refuses is there, and a process that takes nothing new may hold what it has.
+                server.unreachable.get_or_insert(now);
+            }
             server.dial_at = now + server.pause;
             server.pause = (2 * server.pause).min(REDIAL.1);
             // Connections that are still open would have been reset with the process.
@@ -586,10 +590,10 @@
         if code < 200 {
             return;
         }
+        // The platform's servers tell answers apart by call and method alone: whatever number they put into CSeq,
+        // the connection tells which attempt it is.
         let out = self.calls.get(&id).and_then(|call| call.attempt);
-        let seq = message.cseq().map(|cseq| cseq.number);
-        let own = out.is_some_and(|out| out.carrier == Carrier::Conn(conn) && seq == Some(out.number + 1));
-        if !own {
+        if out.is_none_or(|out| out.carrier != Carrier::Conn(conn)) {
             return self.late_answer(conn, server, id, code, message);
         }
         if code < 300 && !description::is_whole(message.body()) {
@@ -614,7 +618,7 @@
     /// An answer that nobody waits for: a second copy, or one to an attempt that was given up.
     fn late_answer(&mut self, conn: ConnId, server: ServerId, id: CallId, code: u16, message: &Message) {
         if !self.releases.was_abandoned(id, server) {
-            return;
+            return self.trace_id(id, &format!("{code} of server {} is nobody's", server.0));
         }
         self.acknowledge(conn, message);
         let out_there =
@@ -718,3 +722,60 @@
 fn report_of(message: &Message) -> Report {
     message.header("X-Occupancy").map_or_else(Report::default, report_of_text)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn conn(heard_at: Micros) -> ServerConn {
+        ServerConn {
+            server: ServerId(0),
+            reader: Reader::new(),
+            open: BTreeSet::new(),
+            standing: 0,
+            suspect: false,
+            opened_at: 0,
+            heard_at,
+            used_at: 0,
+            partial: None,
+        }
+    }
+
+    #[test]
+    fn set_ups_go_out_on_the_connection_with_the_least_on_it_that_is_sound_and_not_spent() {
+        let mut servers = Servers::new(256, 0, &[]);
+        let conns = (1..=4).map(ConnId);
+        let server = Server {
+            name: "s-a".to_owned(),
+            address: std::net::SocketAddr::from(([127, 0, 0, 1], 1)),
+            availability: Availability::Ready,
+            started_at: None,
+            conns: conns.clone().collect(),
+            dials: BTreeSet::new(),
+            standing: 0,
+            owed: Vec::new(),
+            fresh_at: 0,
+            unreachable: None,
+            pause: 0,
+            dial_at: 0,
+            displaced: false,
+        };
+        servers.all.insert(ServerId(0), server);
+        for id in conns {
+            servers.conns.insert(id, conn(id.0 as Micros));
+        }
+        assert_eq!(
+            servers.choose(ServerId(0), &[]),
+            Some(ConnId(4)),
+            "of those that are free the one heard last"
+        );
+        servers.opened(ConnId(4), CallId(1), 9);
+        assert_eq!(servers.choose(ServerId(0), &[]), Some(ConnId(3)));
+        assert_eq!(servers.choose(ServerId(0), &[ConnId(3)]), Some(ConnId(2)));
+        assert!(servers.doubt(ConnId(2), 5, 5 + SILENCE), "nothing came since");
+        assert_eq!(servers.choose(ServerId(0), &[ConnId(3)]), Some(ConnId(1)));
+        assert!(!servers.doubt(ConnId(3), 2, 2 + SILENCE), "it was heard since");
+        assert_eq!(servers.choose(ServerId(0), &[ConnId(1), ConnId(3)]), Some(ConnId(4)), "busy, but sound");
+        assert_eq!(servers.choose(ServerId(0), &[ConnId(1), ConnId(3), ConnId(4)]), None);
+    }
+}
--- a/crates/lemoncleat-access/tests/calls.rs
+++ b/crates/lemoncleat-access/tests/calls.rs
@@ -267,6 +267,21 @@
     assert_eq!(methods(&world.read(caller)), [Method::Bye]);
 }
 
+/// The platform's servers put the same number into every CSeq: a second attempt is answered like a first one.
+#[test]
+fn a_second_attempt_is_answered_whatever_its_number_says() {
+    let mut world = World::new();
+    let caller = world.caller();
+    world.bytes(caller, &invite(ID, "dear", LEGS));
+    let (_, conn, asked) = world.invited();
+    world.bytes(conn, &refusal(&asked, 500, ""));
+    let (_, conn, again) = world.invited();
+    let answer = String::from_utf8(ok(&again)).expect("text").replace("CSeq: 2 INVITE", "CSeq: 1 INVITE");
+    assert!(answer.contains("CSeq: 1 INVITE"));
+    world.bytes(conn, answer.as_bytes());
+    assert_eq!(codes(&world.read(caller)), [200]);
+}
+
 #[test]
 fn a_cut_before_the_answer_is_a_reset() {
     let mut world = World::new();
--- a/crates/lemoncleat-access/tests/servers.rs
+++ b/crates/lemoncleat-access/tests/servers.rs
@@ -131,6 +131,23 @@
     assert_eq!((methods(&told), told[0].header("Reason")), (vec![Method::Bye], Some("Q.850;cause=41")));
 }
 
+#[test]
+fn a_server_that_drains_and_refuses_connections_keeps_its_calls() {
+    let mut world = World::new();
+    let caller = world.caller();
+    let (server, conn) = world.standing_call(caller, ID);
+    event(&mut world, &hosts(2, &endpoint("s-a", "127.0.1.1:5070", 0, "draining", 0)));
+    world.up.remove(&server);
+    for _ in 0..100 {
+        world.pass(100 * MS);
+        world.bytes(caller, &about(Method::Options, "00000000000000f0"));
+        world.fail_dials(true);
+        assert!(methods(&world.read(caller)).is_empty(), "it holds what it has");
+    }
+    world.bytes(conn, &bye(ID, 16));
+    assert_eq!(methods(&world.read(caller)), [Method::Bye]);
+}
+
 #[test]
 fn a_machine_that_vanished_has_cut_its_calls_within_its_time() {
     let mut world = World::new();
