A server that is gone shows although one of its connections stays open in silence

Ruled out: a new server at the old address (traced: another address), a release that came and was not passed on (none came). Change: a server that can't be reached, refused or not, and that has said nothing for 5 s has lost its calls; one that only takes nothing new goes on speaking of those it has. Beside it, found by reading: a server whose address was taken before it was told gone would have been dialled there (displace). Where each server stands is told at debug level. Test for each.

--- a/crates/lemoncleat-access/src/notice.rs
+++ b/crates/lemoncleat-access/src/notice.rs
@@ -41,6 +41,19 @@
         /// Set-ups that were open on it.
         open: usize,
     },
+    /// Where a server stands, for who traces calls.
+    Server {
+        /// The server's name and where it listens.
+        server: String,
+        /// What the list says.
+        listed: &'static str,
+        /// Calls that stand there.
+        standing: usize,
+        /// Connections to it.
+        conns: usize,
+        /// Dials under way.
+        dials: usize,
+    },
     /// A server can't be reached.
     Unreachable {
         /// The server's name.
@@ -99,7 +112,7 @@
     /// How much it matters.
     pub fn level(&self) -> Level {
         match self {
-            Notice::Call { .. } | Notice::CallerClosed(_) => Level::Debug,
+            Notice::Call { .. } | Notice::CallerClosed(_) | Notice::Server { .. } => Level::Debug,
             Notice::Module(_)
             | Notice::JournalUp(..)
             | Notice::Stopping { .. }
@@ -123,6 +136,10 @@
             Notice::ServerConn { server, why, open } => {
                 write!(f, "connection to {server} given up: {why}, {open} set-ups open on it")
             }
+            Notice::Server { server, listed, standing, conns, dials } => write!(
+                f,
+                "{server}: {listed}, {standing} calls stand, {conns} connections, {dials} dials"
+            ),
             Notice::Unreachable { server, refused: true } => write!(f, "{server} refuses connections"),
             Notice::Unreachable { server, refused: false } => write!(f, "{server} can't be reached"),
             Notice::CallsLost { server, calls, why } => {
--- a/crates/lemoncleat-access/src/servers.rs
+++ b/crates/lemoncleat-access/src/servers.rs
@@ -31,14 +31,34 @@
     owed: Vec<(String, String, u16)>,
     /// When a connection to it came up last: what it could not tell before, it told then.
     fresh_at: Micros,
-    /// Since when dials fail.
-    unreachable: Option<Micros>,
+    /// The last message of it on any connection, or the moment at which one came up.
+    heard_at: Micros,
+    /// The last dial failed.
+    unreachable: bool,
     pause: Micros,
     dial_at: Micros,
     /// Another server stands at its address now.
     displaced: bool,
 }
 
+impl Server {
+    fn notice(&self) -> Notice {
+        let listed = match (self.displaced, self.availability) {
+            (true, _) => "gone, another stands at its address",
+            (_, Availability::Ready) => "takes calls",
+            (_, Availability::Draining) => "drains",
+            (_, Availability::Gone) => "gone",
+        };
+        Notice::Server {
+            server: format!("{} at {}", self.name, self.address),
+            listed,
+            standing: self.standing,
+            conns: self.conns.len(),
+            dials: self.dials.len(),
+        }
+    }
+}
+
 /// A connection to one.
 struct ServerConn {
     server: ServerId,
@@ -215,7 +235,6 @@
             server.address = endpoint.address;
             server.availability = listed.availability;
             server.started_at = listed.started_at;
-            server.displaced = false;
             if let Some(started) = restarted {
                 // A process that began then holds nothing from before.
                 self.lose_standing(id, started, "its process started anew");
@@ -223,7 +242,6 @@
             if listed.availability != Availability::Ready {
                 self.unbind(id);
             }
-            self.displace(id, endpoint.address);
         }
         if news.complete {
             let gone: Vec<_> = self.servers.all.keys().filter(|id| !seen.contains(id)).copied().collect();
@@ -234,6 +252,10 @@
                 self.unbind(id);
             }
         }
+        self.displace();
+        if self.tracing {
+            self.tell_servers();
+        }
         let news = if news.complete { MemberNews::Complete(members) } else { MemberNews::Changes(members) };
         self.tell_members(news);
         let all: Vec<_> = self.servers.all.keys().copied().collect();
@@ -255,7 +277,8 @@
             standing: 0,
             owed: Vec::new(),
             fresh_at: self.now,
-            unreachable: None,
+            heard_at: self.now,
+            unreachable: false,
             pause: REDIAL.0,
             dial_at: self.now,
             displaced: false,
@@ -265,15 +288,16 @@
         id
     }
 
-    /// Another server that stood at this address is not to be dialled there any more.
-    fn displace(&mut self, by: ServerId, address: SocketAddr) {
-        let others = self.servers.all.iter_mut().filter(|(id, server)| {
-            **id != by && server.address == address && server.availability == Availability::Gone
-        });
+    /// Servers that are gone and at whose address another one stands are not to be dialled there any more.
+    fn displace(&mut self) {
+        let here = self.servers.all.values().filter(|server| server.availability != Availability::Gone);
+        let taken: BTreeSet<SocketAddr> = here.map(|server| server.address).collect();
         let mut dials = Vec::new();
-        for (_, server) in others {
-            server.displaced = true;
-            dials.extend(std::mem::take(&mut server.dials));
+        for server in self.servers.all.values_mut() {
+            server.displaced = server.availability == Availability::Gone && taken.contains(&server.address);
+            if server.displaced {
+                dials.extend(std::mem::take(&mut server.dials));
+            }
         }
         for dial in dials {
             self.stop_dial(dial);
@@ -354,8 +378,14 @@
         };
         server.dials.remove(&dial);
         server.conns.insert(conn);
-        (server.unreachable, server.pause) = (None, REDIAL.0);
-        server.fresh_at = now;
+        if self.tracing {
+            self.out.push(Output::Notice(Notice::Module(format!(
+                "conn {} of {} up {}",
+                conn.0, done.server.0, now
+            ))));
+        }
+        (server.unreachable, server.pause) = (false, REDIAL.0);
+        (server.fresh_at, server.heard_at) = (now, now);
         let owed = std::mem::take(&mut server.owed);
         let state = ServerConn {
             server: done.server,
@@ -384,11 +414,7 @@
         let (mut first, mut dead) = (false, false);
         if let Some(server) = self.servers.all.get_mut(&id) {
             server.dials.remove(&dial);
-            first = server.unreachable.is_none() && server.pause == REDIAL.0;
-            if !refused {
-                // A machine that refuses is there, and a process that takes nothing new may hold what it has.
-                server.unreachable.get_or_insert(now);
-            }
+            first = !std::mem::replace(&mut server.unreachable, true);
             server.dial_at = now + server.pause;
             server.pause = (2 * server.pause).min(REDIAL.1);
             // Connections that are still open would have been reset with the process.
@@ -545,7 +571,7 @@
                     let server = state.server;
                     (state.heard_at, state.suspect, state.partial) = (now, false, None);
                     if let Some(server) = self.servers.all.get_mut(&server) {
-                        server.unreachable = None;
+                        server.heard_at = now;
                     }
                     self.server_message(conn, server, message);
                 }
@@ -683,6 +709,12 @@
 
     // ---- The regular look ----
 
+    /// Tells where each server stands.
+    pub(crate) fn tell_servers(&mut self) {
+        let lines: Vec<_> = self.servers.all.values().map(Server::notice).collect();
+        lines.into_iter().for_each(|line| self.notice(line));
+    }
+
     pub(crate) fn sweep_servers(&mut self) {
         let now = self.now;
         let mut stuck = Vec::new();
@@ -708,7 +740,8 @@
             let Some(server) = self.servers.all.get(&id) else { continue };
             let held = server.standing > 0;
             let stale = held && now - server.fresh_at > CHECK;
-            let vanished = server.unreachable.is_some_and(|since| now - since > VANISHED);
+            // One that only takes nothing new goes on speaking of what it has.
+            let vanished = server.unreachable && now - server.heard_at > VANISHED;
             if held && vanished {
                 self.lose_standing(id, Micros::MAX, "it can't be reached");
             } else if stale {
@@ -755,7 +788,8 @@
             standing: 0,
             owed: Vec::new(),
             fresh_at: 0,
-            unreachable: None,
+            heard_at: 0,
+            unreachable: false,
             pause: 0,
             dial_at: 0,
             displaced: false,
--- a/crates/lemoncleat-access/src/sweep.rs
+++ b/crates/lemoncleat-access/src/sweep.rs
@@ -34,6 +34,9 @@
             stats: self.stats,
         };
         self.notice(notice);
+        if self.tracing {
+            self.tell_servers();
+        }
     }
 
     /// The node is to end: from now on tests fail, and all that was taken is answered.
--- a/crates/lemoncleat-access/src/timing.rs
+++ b/crates/lemoncleat-access/src/timing.rs
@@ -29,8 +29,8 @@
 /// A server that holds calls gets a new connection this often: a release that went out on one that has silently
 /// died comes on it again, and a machine that has vanished shows.
 pub const CHECK: Micros = 2 * SECOND;
-/// A server that can't be reached, and says nothing, for this long has lost its calls.
-pub const VANISHED: Micros = 4 * SECOND;
+/// A server that can't be reached, and has said nothing for this long, has lost its calls.
+pub const VANISHED: Micros = 5 * SECOND;
 /// Connections to a server with nothing open on them, beyond the first few, are closed after this.
 pub const IDLE_SERVER: Micros = 6 * SECOND;
 /// Connections to a server that are kept however idle: as many as its news of free lines come on.
--- a/crates/lemoncleat-access/tests/servers.rs
+++ b/crates/lemoncleat-access/tests/servers.rs
@@ -142,12 +142,33 @@
         world.pass(100 * MS);
         world.bytes(caller, &about(Method::Options, "00000000000000f0"));
         world.fail_dials(true);
+        world.bytes(conn, &notify("x0:39;x1:40"));
         assert!(methods(&world.read(caller)).is_empty(), "it holds what it has");
     }
     world.bytes(conn, &bye(ID, 16));
     assert_eq!(methods(&world.read(caller)), [Method::Bye]);
 }
 
+/// Seen on the platform: a server that drained was gone, its address refused connections, most of its connections
+/// were closed, and one stayed open and silent for good.
+#[test]
+fn a_server_that_is_gone_shows_although_a_connection_to_it_stays_open() {
+    let mut world = World::new();
+    let caller = world.caller();
+    let (server, _) = world.standing_call(caller, ID);
+    event(&mut world, &hosts(2, &endpoint("s-a", "127.0.1.1:5070", 0, "draining", 0)));
+    world.up.remove(&server);
+    world.read(caller);
+    let mut released = false;
+    for _ in 0..75 {
+        world.pass(100 * MS);
+        world.bytes(caller, &about(Method::Options, "00000000000000f0"));
+        world.fail_dials(true);
+        released |= methods(&world.read(caller)).contains(&Method::Bye);
+    }
+    assert!(released && !world.to(server).is_empty());
+}
+
 #[test]
 fn a_machine_that_vanished_has_cut_its_calls_within_its_time() {
     let mut world = World::new();
@@ -250,6 +271,22 @@
     }
 }
 
+#[test]
+fn a_server_whose_address_was_taken_before_it_was_told_gone_is_not_looked_for_there() {
+    let mut world = World::new();
+    let caller = world.caller();
+    let (server, _) = world.standing_call(caller, ID);
+    let old = world.to(server);
+    event(&mut world, &hosts(2, &endpoint("s-a", "127.0.1.1:5070", 0, "draining", 0)));
+    event(&mut world, &hosts(3, &endpoint("s-c", "127.0.1.1:5070", 0, "up", 1_800_000_000_500)));
+    event(&mut world, &hosts(4, &endpoint("s-a", "127.0.1.1:5070", 0, "removed", 0)));
+    world.read(caller);
+    for conn in old {
+        world.close(conn);
+    }
+    assert_eq!(methods(&world.read(caller)), [Method::Bye], "what answers at its address is another");
+}
+
 #[test]
 fn a_process_that_started_anew_holds_nothing_from_before() {
     let mut world = World::new();
