Releases go out on proven connections; unread connections are not closed for room

Traced: the server's release was read at 7.44 s, in the midst of 685 connections closed for room in that second; three releases were still to be heard at 10.3 s. Cause: latest() in callers.rs took the connection that brought anything of use last, which in a flood is the flood's (a passed test counts as use), and three tries went there. Change: a connection is proven by what only the caller of a standing call can know (ACK, the 200 to a release, a release); those come first for releases and last for being closed; six tries 150 ms apart, each elsewhere. A connection closed for room is looked at once more: what waits in the socket or in the loop's queue is read first (Net::has_input). The accepting task gives readers a turn after each connection. Tests for both.

--- a/crates/lemoncleat-access/src/callers.rs
+++ b/crates/lemoncleat-access/src/callers.rs
@@ -18,8 +18,10 @@
 pub(crate) struct Caller {
     reader: Reader,
     accepted: Micros,
-    /// The last message that was of use; the moment 0 stands for none.
+    /// When it last brought something of use.
     pub(crate) useful: Option<Micros>,
+    /// When it last brought what only the caller of a call that stands could know: whoever sent that reads releases.
+    proven: Option<Micros>,
     /// Since when a message lies there unfinished.
     partial: Option<Micros>,
     /// Set-ups without an answer that came on it.
@@ -42,18 +44,20 @@
         self.conns.contains_key(&conn)
     }
 
-    /// Whom to close for room: a connection that has brought nothing yet, the oldest first, else the one without
-    /// an open set-up that has been quiet longest.
+    /// Whom to close for room: a connection that has brought nothing yet, the oldest first, then one that nobody
+    /// has proven, then, of those without an open set-up, the one that has been quiet longest.
     fn least(&self) -> Option<ConnId> {
         let free = self.conns.iter().filter(|(_, caller)| caller.open == 0);
-        free.min_by_key(|(_, caller)| (caller.useful.is_some(), caller.useful.unwrap_or(caller.accepted)))
-            .map(|(conn, _)| *conn)
+        let rank = |caller: &Caller| {
+            (caller.useful.is_some(), caller.proven.is_some(), caller.useful.unwrap_or(caller.accepted))
+        };
+        free.min_by_key(|(_, caller)| rank(caller)).map(|(conn, _)| *conn)
     }
 
-    /// The connection that brought something of use last, other than one.
-    pub(crate) fn latest(&self, but: Option<ConnId>) -> Option<ConnId> {
-        let sound = self.conns.iter().filter(|(conn, caller)| caller.useful.is_some() && Some(**conn) != but);
-        sound.max_by_key(|(_, caller)| caller.useful).map(|(conn, _)| *conn)
+    /// The surest connection for a release, other than those: proven last, else of use last.
+    pub(crate) fn surest(&self, but: &[ConnId]) -> Option<ConnId> {
+        let sound = self.conns.iter().filter(|(conn, caller)| caller.useful.is_some() && !but.contains(conn));
+        sound.max_by_key(|(_, caller)| (caller.proven, caller.useful)).map(|(conn, _)| *conn)
     }
 }
 
@@ -61,17 +65,23 @@
     pub(crate) fn caller_accepted(&mut self, conn: ConnId) {
         if self.callers.conns.len() >= self.callers.most {
             match self.callers.least() {
-                Some(least) => self.close_caller(least, "room was needed"),
+                Some(least) => self.close_for_room(least),
                 None => {
                     self.notice(Notice::CallerClosed("there is no room"));
                     return self.out.push(Output::Close(conn));
                 }
             }
         }
+        self.keep_caller(conn);
+    }
+
+    /// Takes a connection into the table, as one that has brought nothing yet.
+    pub(crate) fn keep_caller(&mut self, conn: ConnId) {
         let caller = Caller {
             reader: Reader::new(),
             accepted: self.now,
             useful: None,
+            proven: None,
             partial: None,
             open: 0,
             bad: 0,
@@ -125,7 +135,7 @@
         match message.start() {
             Start::Request { method, .. } => match method {
                 Method::Invite => self.invite(conn, message),
-                Method::Ack => self.caller_acked(&message),
+                Method::Ack => self.caller_acked(conn, &message),
                 Method::Cancel => self.caller_cancels(conn, &message),
                 Method::Bye => self.caller_releases(conn, &message),
                 Method::Options => {
@@ -160,6 +170,14 @@
         }
     }
 
+    /// A connection brought what only the caller of a call that stands could know.
+    pub(crate) fn caller_proven(&mut self, conn: ConnId) {
+        let now = self.now;
+        if let Some(caller) = self.callers.conns.get_mut(&conn) {
+            caller.proven = Some(now);
+        }
+    }
+
     /// A connection that its caller closed: the set-ups open on it are given up.
     pub(crate) fn caller_closed(&mut self, conn: ConnId) {
         if self.callers.conns.remove(&conn).is_some() {
@@ -176,10 +194,11 @@
         self.releases_unsent(conn);
     }
 
-    fn close_caller(&mut self, conn: ConnId, why: &'static str) {
+    /// Closes a connection for another, unless something waits there to be read.
+    fn close_for_room(&mut self, conn: ConnId) {
         if self.callers.conns.remove(&conn).is_some() {
-            self.out.push(Output::Close(conn));
-            self.notice(Notice::CallerClosed(why));
+            self.out.push(Output::CloseIfQuiet(conn));
+            self.notice(Notice::CallerClosed("room was needed"));
             self.caller_lost(conn);
         }
     }
--- a/crates/lemoncleat-access/src/calls.rs
+++ b/crates/lemoncleat-access/src/calls.rs
@@ -165,10 +165,11 @@
         self.stand(id, standing);
     }
 
-    pub(crate) fn caller_acked(&mut self, message: &Message) {
+    pub(crate) fn caller_acked(&mut self, conn: ConnId, message: &Message) {
         if let Some((_, number)) = invite::id(message) {
             if let Some(standing) = self.standing.get_mut(&CallId(number)) {
                 standing.acked = true;
+                self.caller_proven(conn);
             }
         }
     }
@@ -202,6 +203,7 @@
         };
         let (id, cause) = (CallId(number), cause_of(message));
         if self.standing.contains_key(&id) {
+            self.caller_proven(conn);
             self.release_by_caller(id, cause);
         } else if self.calls.contains_key(&id) {
             self.caller_gone(id);
--- a/crates/lemoncleat-access/src/interface.rs
+++ b/crates/lemoncleat-access/src/interface.rs
@@ -19,6 +19,8 @@
 pub enum Input<'a> {
     /// A caller connected.
     Accepted(ConnId),
+    /// A connection that was to be closed if it was quiet is not: it stays.
+    NotQuiet(ConnId),
     /// A dial came about.
     Dialled(DialId, ConnId),
     /// A dial failed; `refused` when the machine answered that nobody listens.
@@ -53,6 +55,8 @@
     Send(ConnId, Vec<u8>),
     /// Close once what was given is written.
     Close(ConnId),
+    /// Close at once, unless bytes wait there to be read; then say [`Input::NotQuiet`].
+    CloseIfQuiet(ConnId),
     /// Close gently, so that what was written is read although the other side goes on sending: write, end the
     /// writing half, read and drop for a bounded while.
     HangUp(ConnId),
--- a/crates/lemoncleat-access/src/node.rs
+++ b/crates/lemoncleat-access/src/node.rs
@@ -128,6 +128,7 @@
         self.now = self.now.max(now);
         match input {
             Input::Accepted(conn) => self.caller_accepted(conn),
+            Input::NotQuiet(conn) => self.keep_caller(conn),
             Input::Dialled(dial, conn) => {
                 if self.journal.is_dial(dial) {
                     self.journal_dialled(conn);
--- a/crates/lemoncleat-access/src/releases.rs
+++ b/crates/lemoncleat-access/src/releases.rs
@@ -18,9 +18,10 @@
     called: String,
     cause: u16,
     since: Micros,
-    /// Where it went last, and when.
-    sent: Option<(ConnId, Micros)>,
-    tries: u32,
+    /// When it went out last.
+    sent: Option<Micros>,
+    /// Where it went, the last at the end.
+    tried: Vec<ConnId>,
 }
 
 /// The tables.
@@ -89,9 +90,9 @@
                 self.releases.open.remove(&oldest);
             }
         }
-        let release = Release { id: text, called, cause, since: self.now, sent: None, tries: 0 };
+        let release = Release { id: text, called, cause, since: self.now, sent: None, tried: Vec::new() };
         self.releases.open.insert(id, release);
-        let to = if self.callers.holds(conn) { Some(conn) } else { self.callers.latest(None) };
+        let to = if self.callers.holds(conn) { Some(conn) } else { self.callers.surest(&[]) };
         if let Some(to) = to {
             self.send_release(id, to);
         }
@@ -100,9 +101,10 @@
     fn send_release(&mut self, id: CallId, conn: ConnId) {
         let now = self.now;
         let Some(release) = self.releases.open.get_mut(&id) else { return };
-        release.sent = Some((conn, now));
-        release.tries += 1;
-        let bytes = dialog(Method::Bye, &self.name, &release.id, &release.called, release.tries)
+        release.sent = Some(now);
+        release.tried.push(conn);
+        let number = release.tried.len() as u32;
+        let bytes = dialog(Method::Bye, &self.name, &release.id, &release.called, number)
             .header("Reason", format_args!("Q.850;cause={}", release.cause))
             .finish(b"");
         self.send(conn, bytes);
@@ -119,11 +121,11 @@
     /// A connection is gone: what went out on it and was not confirmed goes out on another.
     pub(crate) fn releases_unsent(&mut self, conn: ConnId) {
         for release in self.releases.open.values_mut() {
-            if release.sent.is_some_and(|(to, _)| to == conn) {
+            if release.tried.last() == Some(&conn) {
                 release.sent = None;
             }
         }
-        if let Some(other) = self.callers.latest(None) {
+        if let Some(other) = self.callers.surest(&[]) {
             self.send_releases(other);
         }
     }
@@ -133,6 +135,7 @@
         let release = message.cseq().is_some_and(|cseq| cseq.method == Method::Bye);
         if let (Some((_, number)), true) = (invite::id(message), release) {
             if self.releases.open.remove(&CallId(number)).is_some() {
+                self.caller_proven(conn);
                 self.caller_useful(conn);
             }
         }
@@ -143,12 +146,12 @@
         self.releases.open.retain(|_, release| now - release.since < RELEASE_KEPT);
         self.releases.unknown.retain(|_, (at, _)| now - *at < UNKNOWN_KEPT);
         self.releases.abandoned.retain(|_, at| now - *at < UNKNOWN_KEPT);
-        let again = self.releases.open.iter().filter_map(|(id, release)| {
-            let (conn, at) = release.sent?;
-            (release.tries < RELEASE_TRIES && now - at > RELEASE_AGAIN).then_some((*id, conn))
+        let again = self.releases.open.iter().filter(|(_, release)| {
+            release.tried.len() < RELEASE_TRIES && release.sent.is_some_and(|at| now - at > RELEASE_AGAIN)
         });
-        for (id, conn) in again.collect::<Vec<_>>() {
-            if let Some(other) = self.callers.latest(Some(conn)) {
+        for id in again.map(|(id, _)| *id).collect::<Vec<_>>() {
+            let tried = self.releases.open.get(&id).map_or(&[][..], |release| &release.tried);
+            if let Some(other) = self.callers.surest(tried) {
                 self.send_release(id, other);
             }
         }
--- a/crates/lemoncleat-access/src/servers.rs
+++ b/crates/lemoncleat-access/src/servers.rs
@@ -378,12 +378,6 @@
         };
         server.dials.remove(&dial);
         server.conns.insert(conn);
-        if self.tracing {
-            self.out.push(Output::Notice(Notice::Module(format!(
-                "conn {} of {} up {}",
-                conn.0, done.server.0, now
-            ))));
-        }
         (server.unreachable, server.pause) = (false, REDIAL.0);
         (server.fresh_at, server.heard_at) = (now, now);
         let owed = std::mem::take(&mut server.owed);
--- a/crates/lemoncleat-access/src/timing.rs
+++ b/crates/lemoncleat-access/src/timing.rs
@@ -44,9 +44,9 @@
 /// The longest line of the journal service.
 pub const JOURNAL_LINE: usize = 1 << 20;
 /// A release that a caller did not confirm is sent again on another connection after this, ...
-pub const RELEASE_AGAIN: Micros = 400 * MS;
+pub const RELEASE_AGAIN: Micros = 150 * MS;
 /// ... this many times, ...
-pub const RELEASE_TRIES: u32 = 3;
+pub const RELEASE_TRIES: usize = 6;
 /// ... and forgotten after this.
 pub const RELEASE_KEPT: Micros = 12 * SECOND;
 /// Releases of calls that nobody here knows yet are kept this long.
--- a/crates/lemoncleat-access/tests/callers.rs
+++ b/crates/lemoncleat-access/tests/callers.rs
@@ -140,6 +140,46 @@
     assert!(flood.iter().all(|conn| world.closed.contains(conn)), "silence is closed");
 }
 
+/// What a caller sent may lie in the socket when a flood behind it is accepted.
+#[test]
+fn a_connection_with_something_to_read_is_not_closed_for_room() {
+    let mut world = World::new();
+    let caller = world.caller();
+    world.unread.insert(caller);
+    for _ in 0..1_000 {
+        world.caller();
+    }
+    assert!(!world.closed.contains(&caller));
+    world.bytes(caller, &invite(ID, "voice", LEGS));
+    let (_, conn, asked) = world.invited();
+    world.bytes(conn, &ok(&asked));
+    assert_eq!(codes(&world.read(caller)), [200]);
+}
+
+/// A caller whose connection is gone is told on one of somebody who is known to have a call, not on whatever a flood
+/// brought last.
+#[test]
+fn releases_pass_over_connections_that_nobody_has_proven() {
+    let mut world = World::new();
+    let (caller, known) = (world.caller(), world.caller());
+    world.standing_call(known, "00000000000000a1");
+    let (_, conn) = world.standing_call(caller, ID);
+    world.close(caller);
+    let flood: Vec<_> = (0..100)
+        .map(|_| {
+            let rude = world.caller();
+            world.bytes(rude, &about(Method::Options, "00000000000000a9"));
+            world.read(rude);
+            rude
+        })
+        .collect();
+    world.bytes(conn, &bye(ID, 16));
+    assert_eq!(methods(&world.read(known)), [Method::Bye]);
+    world.pass(SECOND);
+    let elsewhere = flood.iter().filter(|rude| !world.read(**rude).is_empty()).count();
+    assert!((1..6).contains(&elsewhere), "not heard within its time, it is tried elsewhere: {elsewhere}");
+}
+
 #[test]
 fn hundreds_of_set_ups_withdrawn_at_once_leave_nothing() {
     let mut world = World::new();
--- a/crates/lemoncleat-access/tests/common/mod.rs
+++ b/crates/lemoncleat-access/tests/common/mod.rs
@@ -48,6 +48,8 @@
     /// What the node wrote and nobody looked at, by connection.
     written: BTreeMap<ConnId, Vec<u8>>,
     pub closed: BTreeSet<ConnId>,
+    /// Connections on which bytes wait that the node has not been given.
+    pub unread: BTreeSet<ConnId>,
     pub notices: Vec<Notice>,
     pub told: Vec<(SocketAddr, Vec<u8>)>,
     pub stopped: bool,
@@ -102,6 +104,7 @@
             every: Vec::new(),
             written: BTreeMap::new(),
             closed: BTreeSet::new(),
+            unread: BTreeSet::new(),
             notices: Vec::new(),
             told: Vec::new(),
             stopped: false,
@@ -124,7 +127,10 @@
                     }
                     self.written.entry(conn).or_default().extend(bytes);
                 }
-                Output::Close(conn) | Output::HangUp(conn) => {
+                Output::CloseIfQuiet(conn) if self.unread.contains(&conn) => {
+                    self.input(Input::NotQuiet(conn))
+                }
+                Output::Close(conn) | Output::HangUp(conn) | Output::CloseIfQuiet(conn) => {
                     self.closed.insert(conn);
                     self.conns.retain(|(_, held)| *held != conn);
                 }
--- a/crates/lemoncleat-net/src/lib.rs
+++ b/crates/lemoncleat-net/src/lib.rs
@@ -146,6 +146,8 @@
     /// A task waits until the socket takes more.
     blocked: Option<Task<()>>,
     dirty: bool,
+    /// Pieces that were read and wait in the loop's queue.
+    queued: Rc<Cell<usize>>,
     _reader: Task<()>,
     tls: Option<Box<Session>>,
     /// Bytes given for it that are in `waiting`, before encryption.
@@ -270,6 +272,8 @@
                         if sender.send(Raw::Accepted(tag, stream)).await.is_err() {
                             return;
                         }
+                        // A crowd that waits must not keep the readers from their turn.
+                        future::yield_now().await;
                     }
                     Err(_) => {
                         Timer::after(ACCEPT_PAUSE).await;
@@ -352,6 +356,8 @@
         let stream = Arc::new(stream);
         let (reading, sender) = (stream.clone(), self.sender.clone());
         let buffer = self.buffer.clone();
+        let queued = Rc::new(Cell::new(0));
+        let count = queued.clone();
         let reader = self.executor.spawn(async move {
             loop {
                 // The loop below reads only when the reactor says so, or at once if something is there. Nothing is
@@ -366,6 +372,7 @@
                     _ => Raw::Closed(id),
                 };
                 let last = matches!(raw, Raw::Closed(_));
+                count.set(count.get() + usize::from(!last));
                 if sender.send(raw).await.is_err() || last {
                     return;
                 }
@@ -376,6 +383,7 @@
             waiting: Vec::new(),
             blocked: None,
             dirty: false,
+            queued,
             _reader: reader,
             tls: tls.map(Box::new),
             plain: 0,
@@ -537,6 +545,12 @@
         }
     }
 
+    /// Whether bytes wait on a connection that the loop was not given yet.
+    pub fn has_input(&self, conn: u64) -> bool {
+        let Some(state) = self.conns.get(&conn) else { return false };
+        state.queued.get() > 0 || matches!(state.stream.get_ref().peek(&mut [0]), Ok(count) if count > 0)
+    }
+
     /// How many bytes wait to be written on a connection.
     pub fn waiting(&self, conn: u64) -> usize {
         self.conns.get(&conn).map_or(0, |conn| conn.waiting.len())
@@ -652,7 +666,9 @@
                 }
             }
             Raw::Bytes(conn, bytes) => {
-                if self.conns.get(&conn)?.tls.is_some() {
+                let state = self.conns.get(&conn)?;
+                state.queued.set(state.queued.get().saturating_sub(1));
+                if state.tls.is_some() {
                     return self.decrypt(conn, &bytes);
                 }
                 Event::Bytes { conn, bytes }
--- a/crates/lemoncleat-service/src/access.rs
+++ b/crates/lemoncleat-service/src/access.rs
@@ -207,6 +207,13 @@
                     }
                 }
                 Output::Close(conn) => self.net.close(conn.0),
+                Output::CloseIfQuiet(conn) => {
+                    if self.net.has_input(conn.0) {
+                        self.handle(Input::NotQuiet(conn));
+                    } else {
+                        self.net.close(conn.0);
+                    }
+                }
                 Output::HangUp(conn) => self.net.hang_up(conn.0),
                 Output::Tell(address, bytes) => {
                     if let Some(socket) = &self.notes {
