--- a/crates/lemoncleat-platform/tests/platform.rs
+++ b/crates/lemoncleat-platform/tests/platform.rs
@@ -39,7 +39,8 @@
 
 #[test]
 fn complaints_are_one_line_with_the_path_of_the_field() {
-    let cases: [(fn(String) -> String, &str); 5] = [
+    type Change = fn(String) -> String;
+    let cases: [(Change, &str); 5] = [
         (|text| text.replace("10.0.0.4:5070", "here"), "listen: "),
         (|text| text.replace("\"aim_us\":1500000", "\"aim_us\":\"soon\""), "settings.classes[0].aim_us: "),
         (
