--- a/crates/lemoncleat-oracle/tests/sip.rs
+++ b/crates/lemoncleat-oracle/tests/sip.rs
@@ -2,7 +2,7 @@
 
 use lemoncleat_sip::{request, Message, Method, Reader, Start};
 use proptest::prelude::*;
-use rsip::prelude::{HasHeaders, HeadersExt, UntypedHeader};
+use rsip::prelude::{HeadersExt, UntypedHeader};
 
 fn ours(bytes: &[u8]) -> Option<Message> {
     let mut reader = Reader::new();
--- a/crates/lemoncleat/tests/module.rs
+++ b/crates/lemoncleat/tests/module.rs
@@ -4,8 +4,8 @@
 
 use common::{answered, call, member, sent, settings, Node, MS, S};
 use lemoncleat::{
-    Action, Availability, Call, CallId, Class, Controller, DedupGroup, Effect, Event, MemberNews, Membership,
-    Outcome, Reason, Report, ServerId, Settings,
+    Action, Availability, Call, CallId, Class, Controller, DedupGroup, Effect, Event, Member, MemberNews,
+    Membership, Outcome, Reason, Report, ServerId, Settings,
 };
 
 #[test]
@@ -754,3 +754,18 @@
     assert!(node.ended(20, 0, 0, Outcome::Cancelled, Reason::None).is_empty(), "it is over");
     assert!(!answered(&node.pass(S), 20));
 }
+
+/// Where times are short, the way to another zone is a good part of a pressed wait: it must not count as a queue.
+#[test]
+fn the_way_to_a_far_server_is_no_wait() {
+    let mut node = Node::new(Settings { repeat: 100 * MS, ..settings() }, 1);
+    node.served(1, 5, 0, 5 * MS, 20 * MS);
+    let far = Member { zone: 1, ..member(1, Availability::Ready, None) };
+    node.handle(Event::Members(MemberNews::Complete(vec![far])));
+    for id in 10..40 {
+        assert_eq!(sent(&node.call(id, 0, 1)), Some(1), "call {id}");
+        node.pass(45 * MS);
+        node.started(id, 0, 1, 45 * MS);
+        node.pass(20 * MS);
+    }
+}
