--- a/crates/lemoncleat/src/decide.rs
+++ b/crates/lemoncleat/src/decide.rs
@@ -494,8 +494,8 @@
 
     fn started(&mut self, call: CallId, attempt: u32, id: ServerId, lag: Micros) {
         let (now, stall) = (self.now, self.stall);
-        // A first answer may come out of a queue: it is no measure of the way there alone. The ways to servers of
-        // one zone are alike; that to another zone may well be longer.
+        // A first answer may come out of a queue: it is no measure of the way there alone. The ways to
+        // servers of one zone are alike; that to another zone may well be longer.
         let zone = self.servers.get(&id).map(|server| server.zone);
         let alike = self.servers.values().filter(|server| Some(server.zone) == zone);
         let others = alike.filter_map(|server| server.base).max();
