A set-up that later answers overtook may go anew to the same server

Ruled out: free lines (32 and more), health, the release time, sockets (CANCEL, release and late answers go their ways). At fault: rescue in decide.rs, which left the set-up's own server out of the choice for lost set-ups too. Change: it is left out only while the set-up may still be answered.

--- a/crates/lemoncleat/src/decide.rs
+++ b/crates/lemoncleat/src/decide.rs
@@ -741,7 +741,9 @@
             let class = &self.settings.classes[pending.call.class];
             // What has waited long is likely to wait as long again; what was overtaken is lost.
             let stay = if lost { 0.0 } else { self.gain(pending, self.now, 1.0, age) };
-            let Some((score, _)) = self.best(pending, at, Some(out.server)) else { continue };
+            // The server that answers what came after it may well take it anew.
+            let but = (!lost).then_some(out.server);
+            let Some((score, _)) = self.best(pending, at, but) else { continue };
             if score > stay + RESCUE * class.worth {
                 cancelled.push(id);
             }
--- a/crates/lemoncleat/tests/module.rs
+++ b/crates/lemoncleat/tests/module.rs
@@ -128,6 +128,23 @@
     assert_eq!(sent(&node.call(12, 1, 0)), Some(0));
 }
 
+#[test]
+fn a_lost_set_up_is_sent_anew_to_the_server_that_answers_later_ones() {
+    // Recorded day re29b41: such calls waited for their callers' patience to end, as no other server had room.
+    let mut node = Node::new(settings(), 1);
+    node.served(1, 3, 0, 20 * MS, 20 * MS);
+    node.call(10, 0, 0); // never answered
+    node.pass(100 * MS);
+    node.call(11, 0, 0);
+    node.pass(20 * MS);
+    node.started(11, 0, 0, 20 * MS);
+    let cancel = Action::Cancel { call: CallId(10), attempt: 0 };
+    assert!(node.pass(200 * MS).contains(&cancel));
+    node.ended(10, 0, 0, Outcome::Cancelled, Reason::None);
+    assert_eq!(sent(&node.pass(290 * MS)), None, "the release is awaited");
+    assert_eq!(sent(&node.pass(20 * MS)), Some(0));
+}
+
 #[test]
 fn a_lost_set_up_everywhere_does_not_stop_the_node() {
     // Incident if5bc97: one lost set-up at each server, and nothing was sent for nine seconds.
