The module forgets servers that are gone; its sizes stand in the log

Need: every table of a node is to shrink when its entry ends, and the module's list of servers did not (nor could its size be seen), while its cost grows with the square of the servers it knows. Change: a server that has been gone for AGEING (10 s) is forgotten once no set-up is out there and no call waits that may have run there. The most that it did stays known of its place, from which warm_rate judges its successor as before. The line 'holds' tells the module's servers, calls and waiting calls. Tests: 200 replaced servers in the module (14 held at most), 100 in the node (under 12), one held by a set-up that is out, a successor's pace after a busy and an unknown predecessor (fails with the place's past left out).

--- a/crates/lemoncleat-access/src/node.rs
+++ b/crates/lemoncleat-access/src/node.rs
@@ -52,7 +52,7 @@
     /// Set-ups without an answer, at most.
     pub(crate) most_open: usize,
     pub(crate) longest_deadline: Micros,
-    controller: Controller,
+    pub(crate) controller: Controller,
     pub(crate) wheel: Wheel<Timer>,
     pub(crate) callers: Callers,
     pub(crate) calls: BTreeMap<CallId, Call>,
--- a/crates/lemoncleat-access/src/notice.rs
+++ b/crates/lemoncleat-access/src/notice.rs
@@ -3,6 +3,8 @@
 use std::fmt;
 use std::net::SocketAddr;
 
+use lemoncleat::Sizes;
+
 use crate::interface::Stats;
 
 /// How much a notice matters.
@@ -103,6 +105,8 @@
         unknown: usize,
         /// Timers set.
         timers: usize,
+        /// What the module holds.
+        module: Sizes,
         /// What was done so far.
         stats: Stats,
     },
@@ -161,13 +165,17 @@
                 releases,
                 unknown,
                 timers,
+                module,
                 stats,
             } => write!(
                 f,
                 "holds: {callers} callers' connections, {open} set-ups, {standing} standing, {servers} servers, \
                  {server_conns} connections to them, {releases} releases to be heard, {unknown} of calls not known, \
-                 {timers} timers; so far: {} calls, {} stood, {} refused, {} failed, {} given up, {} cut, \
+                 {timers} timers, in the module {} servers, {} calls, {} of them waiting; so far: {} calls, {} stood, {} refused, {} failed, {} given up, {} cut, \
                  {} attempts, {} bad from callers, {} from servers, {} overdue",
+                module.servers,
+                module.calls,
+                module.waiting,
                 stats.calls,
                 stats.stood,
                 stats.refused,
--- a/crates/lemoncleat-access/src/sweep.rs
+++ b/crates/lemoncleat-access/src/sweep.rs
@@ -31,6 +31,7 @@
             releases: self.releases.len(),
             unknown: self.releases.unknown_len(),
             timers: self.wheel.len(),
+            module: self.controller.sizes(),
             stats: self.stats,
         };
         self.notice(notice);
--- a/crates/lemoncleat-access/tests/servers.rs
+++ b/crates/lemoncleat-access/tests/servers.rs
@@ -450,7 +450,7 @@
         name = format!("s-{round}");
         event(&mut world, &hosts(pos, &endpoint(&name, "127.0.1.1:5070", 0, "up", 0)));
     }
-    let Notice::Tables { callers, open, standing, servers, releases, unknown, timers, stats, .. } =
+    let Notice::Tables { callers, open, standing, servers, releases, unknown, timers, module, stats, .. } =
         world.tables()
     else {
         panic!("tables");
@@ -458,6 +458,8 @@
     assert_eq!((callers, open, standing, releases, unknown), (0, 0, 0, 0, 0));
     assert_eq!(servers, 2, "the two that are listed");
     assert!(timers <= 2, "{timers} timers");
+    assert_eq!((module.calls, module.waiting), (0, 0));
+    assert!(module.servers < 12, "those of the last ten seconds, not {}", module.servers);
     assert_eq!(stats.calls, 10_000);
     assert_eq!(stats.stood + stats.refused + stats.failed, 10_000);
     assert!(stats.stood > 9_000, "{stats:?}");
--- a/crates/lemoncleat/src/decide.rs
+++ b/crates/lemoncleat/src/decide.rs
@@ -108,6 +108,8 @@
 #[derive(Default)]
 struct Server {
     ready: bool,
+    /// Since when it is no longer on the list.
+    gone_at: Option<Micros>,
     started_at: Option<Micros>,
     place: i64,
     zone: u32,
@@ -238,6 +240,17 @@
     }
 }
 
+/// Set-ups a second that a server did for all nodes at least, at its best.
+fn most_done(settings: &Settings, longest: f64, server: &Server) -> f64 {
+    // The most of a small count lies above its mean, and all nodes' error would be the same. Lines in
+    // use count all nodes' calls.
+    let nodes = f64::from(settings.balancers);
+    match server.most_busy {
+        busy if busy > 0.0 && longest > 0.0 => busy / (longest / 1e6),
+        _ => (server.most_answered - server.most_answered.sqrt()).max(0.0) * nodes / (AGEING / 1e6),
+    }
+}
+
 /// An attempt on its way.
 #[derive(Clone, Copy)]
 struct Out {
@@ -287,6 +300,8 @@
 pub struct Controller {
     settings: Settings,
     servers: BTreeMap<ServerId, Server>,
+    /// The most that servers which were forgotten did at each place: their successors can do as much.
+    past: BTreeMap<i64, f64>,
     calls: BTreeMap<CallId, Pending>,
     /// Calls waiting to be sent, dearest first, then oldest.
     waiting: BTreeSet<(Reverse<u64>, Micros, CallId)>,
@@ -325,6 +340,7 @@
             usual: vec![Usual::default(); settings.classes.len()],
             settings,
             servers: BTreeMap::new(),
+            past: BTreeMap::new(),
             calls: BTreeMap::new(),
             waiting: BTreeSet::new(),
             random: seed,
@@ -389,6 +405,23 @@
         }
     }
 
+    /// How much it holds.
+    pub fn sizes(&self) -> Sizes {
+        Sizes { servers: self.servers.len(), calls: self.calls.len(), waiting: self.waiting.len() }
+    }
+
+    /// What it takes a server to be like at this moment; `None` where it knows nothing of it.
+    pub fn view(&self, id: ServerId) -> Option<View> {
+        let server = self.servers.get(&id)?;
+        Some(View {
+            free: server.free,
+            lines: server.lines,
+            wait: server.expected(self.now) as Micros,
+            way: server.base,
+            silent: server.health(self.now, self.pressed) == Health::Silent,
+        })
+    }
+
     fn chance(&mut self) -> f64 {
         self.random = self.random.wrapping_add(0x9e37_79b9_7f4a_7c15);
         self.draw(0)
@@ -408,11 +441,33 @@
         match news {
             MemberNews::Changes(members) => members.iter().for_each(|member| self.member(member)),
             MemberNews::Complete(members) => {
-                self.servers.values_mut().for_each(|server| server.ready = false);
+                for server in self.servers.values_mut() {
+                    server.ready = false;
+                    server.gone_at.get_or_insert(self.now);
+                }
                 members.iter().for_each(|member| self.member(member));
             }
             MemberNews::Failed => self.watched = false,
         }
+        self.forget_servers();
+    }
+
+    /// Forgets servers that have been gone for long, once no call depends on them. What one could do is the
+    /// best there is to know of its successor.
+    fn forget_servers(&mut self) {
+        let old = |server: &Server| server.gone_at.is_some_and(|at| (self.now - at) as f64 > AGEING);
+        let idle = self.servers.iter().filter(|(_, server)| old(server) && server.open.is_empty());
+        let mut idle: BTreeSet<ServerId> = idle.map(|(&id, _)| id).collect();
+        if !idle.is_empty() {
+            let held = self.calls.values().filter_map(|pending| pending.may_have_run);
+            held.for_each(|(_, id)| _ = idle.remove(&id));
+        }
+        for id in idle {
+            if let Some(server) = self.servers.remove(&id) {
+                let past = self.past.entry(server.place).or_default();
+                *past = past.max(most_done(&self.settings, self.longest, &server));
+            }
+        }
     }
 
     fn member(&mut self, member: &Member) {
@@ -421,6 +476,10 @@
         let first = self.chance() * spacing;
         let server = self.servers.entry(member.server).or_insert_with(|| Server::new(member, now));
         server.ready = member.availability == Availability::Ready;
+        server.gone_at = match member.availability {
+            Availability::Gone => server.gone_at.or(Some(now)),
+            _ => None,
+        };
         server.place = member.place;
         (server.zone, server.kind) = (member.zone, member.kind);
         if server.started_at != member.started_at && member.started_at.is_some() {
@@ -447,16 +506,12 @@
     /// Set-ups a second that the warm server of a place takes from all nodes, judged from this node's
     /// share of its past, or of the lesser of the other places where it has none.
     fn warm_rate(&self, place: i64) -> f64 {
-        let nodes = f64::from(self.settings.balancers);
         let longest = self.longest / 1e6;
-        // The most of a small count lies above its mean, and all nodes' error would be the same. Lines in
-        // use count all nodes' calls.
-        let most = |server: &Server| match server.most_busy {
-            busy if busy > 0.0 && longest > 0.0 => busy / longest,
-            _ => (server.most_answered - server.most_answered.sqrt()).max(0.0) * nodes / (AGEING / 1e6),
-        };
-        let same = self.servers.values().filter(|server| server.place == place).map(most).fold(0.0, f64::max);
-        let least = self.servers.values().map(most).filter(|&most| most > 0.0).fold(f64::INFINITY, f64::min);
+        let present =
+            self.servers.values().map(|one| (one.place, most_done(&self.settings, self.longest, one)));
+        let all = || present.clone().chain(self.past.iter().map(|(&place, &most)| (place, most)));
+        let same = all().filter(|&(at, _)| at == place).map(|(_, most)| most).fold(0.0, f64::max);
+        let least = all().map(|(_, most)| most).filter(|&most| most > 0.0).fold(f64::INFINITY, f64::min);
         let known = if same > 0.0 || least.is_infinite() { same } else { least };
         let rate = known.max(UNKNOWN_RATE);
         // It can't take more calls than leave its lines.
--- a/crates/lemoncleat/src/interface.rs
+++ b/crates/lemoncleat/src/interface.rs
@@ -359,6 +359,32 @@
     },
 }
 
+/// How much a controller holds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Sizes {
+    /// Servers, those not yet forgotten included.
+    pub servers: usize,
+    /// Calls that are owed an answer.
+    pub calls: usize,
+    /// Of them, calls that wait to be sent.
+    pub waiting: usize,
+}
+
+/// What a controller takes a server to be like.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct View {
+    /// Free circuits or lines, own set-ups since the last news taken off.
+    pub free: Option<f64>,
+    /// Their number.
+    pub lines: Option<f64>,
+    /// The wait that a set-up sent now would meet.
+    pub wait: Micros,
+    /// The way there and back with nobody waiting.
+    pub way: Option<Micros>,
+    /// It answers nothing: it gets lone trial calls.
+    pub silent: bool,
+}
+
 /// What a controller asks for. Actions take effect in order, at the moment of the event.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
--- a/crates/lemoncleat/src/lib.rs
+++ b/crates/lemoncleat/src/lib.rs
@@ -40,5 +40,5 @@
 pub use decide::Controller;
 pub use interface::{
     Action, Availability, Call, CallId, Class, DedupGroup, Effect, Event, Member, MemberNews, Membership,
-    Micros, Outcome, Reason, Report, ServerId, Settings, SettingsError,
+    Micros, Outcome, Reason, Report, ServerId, Settings, SettingsError, Sizes, View,
 };
--- a/crates/lemoncleat/tests/module.rs
+++ b/crates/lemoncleat/tests/module.rs
@@ -188,6 +188,57 @@
     assert!(answered(&node.call(2, 0, 0), 2), "a list shrunk to nothing");
 }
 
+#[test]
+fn servers_that_are_gone_are_forgotten_once_nothing_depends_on_them() {
+    let mut node = Node::new(settings(), 2);
+    for number in 2..200 {
+        node.change(number - 1, Availability::Gone, None);
+        node.change(number, Availability::Ready, None);
+        node.pass(S);
+    }
+    assert!(node.controller.sizes().servers <= 14, "{:?}", node.controller.sizes());
+    // One with a set-up out stays until that has ended.
+    assert_eq!(sent(&node.call(1, 1, 199)), Some(199));
+    node.change(199, Availability::Gone, None);
+    node.now += 20 * S;
+    node.change(200, Availability::Ready, None);
+    assert!(node.controller.view(ServerId(199)).is_some());
+    node.ended(1, 0, 199, Outcome::Reset, Reason::None);
+    node.handle(Event::CallerGone(CallId(1)));
+    node.change(201, Availability::Ready, None);
+    assert!(node.controller.view(ServerId(199)).is_none());
+    assert!(node.controller.view(ServerId(0)).is_some(), "it is listed");
+}
+
+#[test]
+fn what_a_forgotten_server_could_do_is_known_of_its_successor() {
+    let successor = |served: u64| {
+        let mut node = Node::new(settings(), 1);
+        node.served(1, served, 0, 20 * MS, 10 * MS);
+        node.change(0, Availability::Gone, None);
+        node.now += 30 * S;
+        let (cold, place) = (Some(node.now), 0);
+        let next = Member { place, ..member(1, Availability::Ready, cold) };
+        node.handle(Event::Members(MemberNews::Changes(vec![next])));
+        assert_eq!(node.controller.sizes().servers, 1, "its predecessor is forgotten");
+        // How much a cold server is sent at most comes from what the place is known to do.
+        let mut sends = 0;
+        for id in 1_000..1_200 {
+            let mut actions = node.call(id, 0, 0);
+            actions.extend(node.pass(10 * MS));
+            if sent(&actions).is_some() {
+                sends += 1;
+                node.pass(20 * MS);
+                node.started(id, 0, 1, 20 * MS);
+            }
+            node.handle(Event::CallerGone(CallId(id)));
+        }
+        sends
+    };
+    let (little, much) = (successor(0), successor(400));
+    assert!(much > 2 * little, "{little} set-ups where nothing is known, {much} after a busy predecessor");
+}
+
 #[test]
 fn a_drain_stops_further_attempts_and_calls_that_wait() {
     let mut node = Node::new(settings(), 1);
