The trace lays what servers tell beside what the module holds of them

Need: what the node believes of lines and waits was not yet compared with the sockets. Change: with LEMONCLEAT_LOG=debug each report is told as it came, with the module's free lines, wait and way until then; each attempt with the time from the choice to the write.

--- a/crates/lemoncleat-access/src/calls.rs
+++ b/crates/lemoncleat-access/src/calls.rs
@@ -275,7 +275,7 @@
         let Some(call) = self.calls.get_mut(&id) else { return };
         let Some(attempt) = &mut call.attempt else { return };
         attempt.carrier = Carrier::Conn(conn);
-        let (server, number) = (attempt.server, attempt.number);
+        let (server, number, waited) = (attempt.server, attempt.number, now - attempt.sent);
         let wait = ((attempt.ends - now) / 1000).max(1);
         let class = call.request.header("X-Cos").unwrap_or_default();
         let bytes = dialog(Method::Invite, &self.name, &call.id, &call.called, number + 1)
@@ -286,7 +286,10 @@
         self.servers.opened(conn, id, now);
         self.stats.attempts += 1;
         self.send(conn, bytes);
-        self.trace(&trace, || format!("attempt {number} to server {} for {wait} ms", server.0));
+        self.trace(&trace, || {
+            let after = waited as f64 / 1e3;
+            format!("attempt {number} to server {} for {wait} ms, {after:.1} ms after the choice", server.0)
+        });
     }
 
     /// Takes the attempt that is out off its call and its connection.
--- a/crates/lemoncleat-access/src/notice.rs
+++ b/crates/lemoncleat-access/src/notice.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 
-use lemoncleat::Sizes;
+use lemoncleat::{Sizes, View};
 
 use crate::interface::Stats;
 
@@ -56,6 +56,15 @@
         /// Dials under way.
         dials: usize,
     },
+    /// What a server told of its load, beside what the module took it to be like until then; for who traces calls.
+    Told {
+        /// The server's name.
+        server: String,
+        /// The report, as it came.
+        report: String,
+        /// The module's view.
+        held: View,
+    },
     /// A server can't be reached.
     Unreachable {
         /// The server's name.
@@ -116,7 +125,9 @@
     /// How much it matters.
     pub fn level(&self) -> Level {
         match self {
-            Notice::Call { .. } | Notice::CallerClosed(_) | Notice::Server { .. } => Level::Debug,
+            Notice::Call { .. } | Notice::CallerClosed(_) | Notice::Server { .. } | Notice::Told { .. } => {
+                Level::Debug
+            }
             Notice::Module(_)
             | Notice::JournalUp(..)
             | Notice::Stopping { .. }
@@ -144,6 +155,19 @@
                 f,
                 "{server}: {listed}, {standing} calls stand, {conns} connections, {dials} dials"
             ),
+            Notice::Told { server, report, held } => {
+                write!(f, "{server} told {report}; held until then: ")?;
+                match (held.free, held.lines) {
+                    (Some(free), Some(lines)) => write!(f, "{free} of {lines} lines free")?,
+                    _ => f.write_str("lines not known")?,
+                }
+                write!(f, ", wait {:.1} ms", held.wait as f64 / 1e3)?;
+                match held.way {
+                    Some(way) => write!(f, ", way {:.1} ms", way as f64 / 1e3)?,
+                    None => f.write_str(", way not known")?,
+                }
+                f.write_str(if held.silent { ", silent" } else { "" })
+            }
             Notice::Unreachable { server, refused: true } => write!(f, "{server} refuses connections"),
             Notice::Unreachable { server, refused: false } => write!(f, "{server} can't be reached"),
             Notice::CallsLost { server, calls, why } => {
--- a/crates/lemoncleat-access/src/servers.rs
+++ b/crates/lemoncleat-access/src/servers.rs
@@ -582,6 +582,11 @@
     }
 
     fn server_message(&mut self, conn: ConnId, server: ServerId, message: Message) {
+        if let (true, Some(report)) = (self.tracing, message.header("X-Occupancy")) {
+            let (name, report) = (self.servers.name(server), report.to_owned());
+            let held = self.controller.view(server).unwrap_or_default();
+            self.notice(Notice::Told { server: name, report, held });
+        }
         match message.start() {
             Start::Response { code } => {
                 let code = *code;
