A connection that swallowed a set-up is noticed however soon that was withdrawn

At fault: Servers::doubt (servers.rs), which suspects a connection only for a set-up given up after 150 ms of silence; since lost set-ups are sent anew after a tenth of a second it hardly ever did. The dead connection stayed, and a release that the server wrote to it was heard only with the next connection, up to CHECK (2 s) later. The same gap lay open while a set-up was out in silence. Change: a connection on which nothing was heard for 400 ms since a set-up went out is closed once nothing is open on it; while something is and calls stand there, their server gets a new connection as often, where there is room. Tests: a withdrawn and an open set-up on a dead connection beside a standing call (both fail without the change), and a connection that is answered on and stays.

--- a/crates/lemoncleat-access/src/servers.rs
+++ b/crates/lemoncleat-access/src/servers.rs
@@ -15,7 +15,9 @@
 use crate::invite;
 use crate::node::AccessNode;
 use crate::notice::Notice;
-use crate::timing::{CHECK, DIAL, IDLE_SERVER, KEPT, PARTIAL_ANSWER, REDIAL, RELEASES, SILENCE, VANISHED};
+use crate::timing::{
+    CHECK, DIAL, IDLE_SERVER, KEPT, MUTE, PARTIAL_ANSWER, REDIAL, RELEASES, SILENCE, VANISHED,
+};
 
 /// One call server.
 struct Server {
@@ -71,6 +73,8 @@
     suspect: bool,
     opened_at: Micros,
     heard_at: Micros,
+    /// When the first set-up went out since.
+    asked_at: Option<Micros>,
     used_at: Micros,
     partial: Option<Micros>,
 }
@@ -159,6 +163,7 @@
     pub(crate) fn opened(&mut self, conn: ConnId, call: CallId, now: Micros) {
         if let Some(conn) = self.conns.get_mut(&conn) {
             conn.open.insert(call);
+            conn.asked_at.get_or_insert(now);
             conn.used_at = now;
         }
     }
@@ -389,6 +394,7 @@
             suspect: false,
             opened_at: now,
             heard_at: now,
+            asked_at: None,
             used_at: now,
             partial: None,
         };
@@ -563,7 +569,8 @@
                 }
                 Ok(Some(message)) => {
                     let server = state.server;
-                    (state.heard_at, state.suspect, state.partial) = (now, false, None);
+                    (state.heard_at, state.asked_at) = (now, None);
+                    (state.suspect, state.partial) = (false, None);
                     if let Some(server) = self.servers.all.get_mut(&server) {
                         server.heard_at = now;
                     }
@@ -716,7 +723,7 @@
 
     pub(crate) fn sweep_servers(&mut self) {
         let now = self.now;
-        let mut stuck = Vec::new();
+        let (mut stuck, mut mute) = (Vec::new(), BTreeSet::new());
         for (&id, conn) in &self.servers.conns {
             let own = self.servers.all.get(&conn.server).map_or(0, |server| server.conns.len());
             let idle = conn.open.is_empty()
@@ -724,6 +731,12 @@
                 && now - conn.used_at.max(conn.opened_at) > IDLE_SERVER;
             if conn.partial.is_some_and(|since| now - since > PARTIAL_ANSWER) {
                 stuck.push((id, "a message stopped short"));
+            } else if conn.asked_at.is_some_and(|at| now - at > MUTE) {
+                if conn.open.is_empty() {
+                    stuck.push((id, "it is silent"));
+                } else if conn.standing > 0 {
+                    mute.insert(conn.server);
+                }
             } else if idle && own > KEPT {
                 stuck.push((id, "idle"));
             }
@@ -738,7 +751,8 @@
         for id in all {
             let Some(server) = self.servers.all.get(&id) else { continue };
             let held = server.standing > 0;
-            let stale = held && now - server.fresh_at > CHECK;
+            let check = if mute.contains(&id) && self.servers.room(id) { MUTE } else { CHECK };
+            let stale = held && now - server.fresh_at > check;
             // One that only takes nothing new goes on speaking of what it has.
             let vanished = server.unreachable && now - server.heard_at > VANISHED;
             if held && vanished {
@@ -768,6 +782,7 @@
             suspect: false,
             opened_at: 0,
             heard_at,
+            asked_at: None,
             used_at: 0,
             partial: None,
         }
--- a/crates/lemoncleat-access/src/timing.rs
+++ b/crates/lemoncleat-access/src/timing.rs
@@ -22,6 +22,9 @@
 pub const PARTIAL_ANSWER: Micros = 400 * MS;
 /// A set-up given up after this, with nothing heard on its connection, makes the connection suspect.
 pub const SILENCE: Micros = 150 * MS;
+/// A connection on which nothing was heard for this long since a set-up went out there may be dead, whatever became
+/// of the set-up: what else its server tells on it needs another way.
+pub const MUTE: Micros = 400 * MS;
 /// How long a dial takes at most where the settings say nothing.
 pub const DIAL: Micros = 500 * MS;
 /// Pauses between dials to a server that has no connection: the first, and the longest.
--- a/crates/lemoncleat-access/tests/servers.rs
+++ b/crates/lemoncleat-access/tests/servers.rs
@@ -263,6 +263,65 @@
     assert!(world.closed.contains(&conn), "given up with the set-up that it swallowed");
 }
 
+/// Recorded day re29b41: a set-up was withdrawn after a tenth of a second on a connection that had died, and the
+/// release of a call that stood on it was heard too late.
+#[test]
+fn a_connection_that_swallowed_a_set_up_is_given_up_however_soon_that_was_withdrawn() {
+    let mut world = World::new();
+    let caller = world.caller();
+    event(&mut world, &hosts(2, &endpoint("s-b", "127.0.1.2:5070", 1, "draining", 0)));
+    let (server, dead) = world.standing_call(caller, ID);
+    world.pass(10 * MS);
+    world.bytes(dead, &notify("x0:40;x1:40"));
+    world.bytes(caller, &invite("00000000000000b7", "voice", "dest:0;width:1;via:-1"));
+    assert_eq!(world.invited().1, dead, "it goes out where the standing call is");
+    world.pass(100 * MS);
+    world.bytes(caller, &about(Method::Cancel, "00000000000000b7"));
+    assert!(!world.closed.contains(&dead), "too soon to tell");
+    world.pass(600 * MS);
+    assert!(world.closed.contains(&dead));
+    let next = *world.to(server).last().expect("a new one");
+    world.read(caller);
+    world.bytes(next, &bye(ID, 16));
+    assert_eq!(methods(&world.read(caller)), [Method::Bye]);
+}
+
+#[test]
+fn while_a_set_up_is_out_in_silence_releases_have_another_way() {
+    let mut world = World::new();
+    let caller = world.caller();
+    event(&mut world, &hosts(2, &endpoint("s-b", "127.0.1.2:5070", 1, "draining", 0)));
+    let (server, dead) = world.standing_call(caller, ID);
+    world.pass(10 * MS);
+    world.bytes(dead, &notify("x0:40;x1:40"));
+    world.bytes(caller, &invite_for("00000000000000b7", "voice", "dest:0;width:1;via:-1", "8000"));
+    assert_eq!(world.invited().1, dead);
+    let fresh = |world: &World| world.every.iter().filter(|(to, _)| *to == server).count();
+    for look in 0..3 {
+        let before = fresh(&world);
+        world.pass(700 * MS);
+        if world.closed.contains(&dead) {
+            return;
+        }
+        assert!(fresh(&world) > before, "look {look}: what is told on the silent one must come again");
+    }
+    assert!(fresh(&world) <= 8, "{} connections", fresh(&world));
+}
+
+#[test]
+fn a_connection_on_which_set_ups_are_answered_stays_though_one_was_withdrawn() {
+    let mut world = World::new();
+    let caller = world.caller();
+    world.bytes(caller, &invite("00000000000000b7", "voice", "dest:0;width:1;via:-1"));
+    let (_, conn, asked) = world.invited();
+    world.pass(100 * MS);
+    world.bytes(caller, &about(Method::Cancel, "00000000000000b7"));
+    world.pass(200 * MS);
+    world.bytes(conn, &refusal(&asked, 480, ""));
+    world.pass(SECOND);
+    assert!(!world.closed.contains(&conn));
+}
+
 #[test]
 fn a_new_server_at_an_old_address_gets_connections_of_its_own() {
     let mut world = World::new();
