An answered set-up takes off the wait that its own work had added

Ruled out: dials (no attempt waited for one), free lines (held as told), the adapter's lags (measured at the write). At fault: started in decide.rs: send adds to the wait, for this call and for what the other nodes send at that moment, half of all nodes' work; an answer, which shows that the call's own part is done, only drew the estimate halfway to its lag, so at 25 answers a second the additions stood. Change: an answer first takes off the work of one set-up, at most what was added. For few nodes that is most of it; for hundreds, where the addition is capped, next to nothing.

--- a/crates/lemoncleat/src/decide.rs
+++ b/crates/lemoncleat/src/decide.rs
@@ -555,6 +555,7 @@
         let alike = self.servers.values().filter(|server| Some(server.zone) == zone);
         let others = alike.filter_map(|server| server.base).max();
         let most = others.unwrap_or(Micros::MAX).min(self.pressed as Micros);
+        let unit = self.servers.get(&id).map_or(0.0, |server| 1e6 / self.warm_rate(server.place));
         if let Some(server) = self.servers.get_mut(&id) {
             server.open.retain(|&(_, c, a)| (c, a) != (call, attempt));
             let base = server.base.unwrap_or(most).min(lag).max(0);
@@ -566,6 +567,9 @@
             server.answered.add(now, false);
             server.lineless.add(now, false);
             server.most_answered = server.most_answered.max(server.answered.all);
+            // Of what its send added, its own work is done; what other nodes sent at that moment may not be.
+            server.settle(now);
+            server.wait = (server.wait - unit.min(server.own)).max(0.0);
             // It came some time during the stall, if there was one.
             let (most, least) = ((lag - base) as f64, (lag - base - stall).max(0) as f64);
             let wait = server.drained(now).clamp(least, most);
--- a/crates/lemoncleat/tests/module.rs
+++ b/crates/lemoncleat/tests/module.rs
@@ -239,6 +239,24 @@
     assert!(much > 2 * little, "{little} set-ups where nothing is known, {much} after a busy predecessor");
 }
 
+#[test]
+fn answers_without_a_wait_take_off_what_their_own_set_ups_added() {
+    // Recorded day rbd0e3c: three nodes held waits of four times those met, and refused a tenth of the calls.
+    let mut node = Node::new(Settings { balancers: 3, ..settings() }, 1);
+    node.served(1, 3, 0, 20 * MS, 20 * MS);
+    let mut most = 0;
+    for id in 10..110 {
+        assert_eq!(sent(&node.call(id, 0, 0)), Some(0), "call {id} pays");
+        node.pass(20 * MS);
+        node.started(id, 0, 0, 20 * MS);
+        let held = node.controller.view(ServerId(0)).expect("it is listed").wait;
+        most = most.max(held);
+        node.pass(20 * MS);
+    }
+    // An own send counts 150 ms here, a third of it for the other nodes' set-ups; the pressed wait is 200 ms.
+    assert!(most > 0 && most <= 60 * MS, "{most} us held where nobody ever waited");
+}
+
 #[test]
 fn a_drain_stops_further_attempts_and_calls_that_wait() {
     let mut node = Node::new(settings(), 1);
