--- a/crates/lemoncleat/tests/module.rs
+++ b/crates/lemoncleat/tests/module.rs
@@ -260,7 +260,7 @@
 #[test]
 fn errors_that_a_server_answers_with_leave_no_wait_behind() {
     // Recorded day rbd0e3c: a seventh of the set-ups came from callers whose set-ups no server can use.
-    let mut node = Node::new(Settings { balancers: 3, ..settings() }, 1);
+    let mut node = Node::new(Settings { balancers: 3, max_attempts: 1, ..settings() }, 1);
     node.served(1, 3, 0, 20 * MS, 20 * MS);
     let wait = |node: &Node| node.controller.view(ServerId(0)).expect("it is listed").wait;
     let before = wait(&node);
