--- a/crates/lemoncleat-access/src/notice.rs
+++ b/crates/lemoncleat-access/src/notice.rs
@@ -195,7 +195,8 @@
                 f,
                 "holds: {callers} callers' connections, {open} set-ups, {standing} standing, {servers} servers, \
                  {server_conns} connections to them, {releases} releases to be heard, {unknown} of calls not known, \
-                 {timers} timers, in the module {} servers, {} calls, {} of them waiting; so far: {} calls, {} stood, {} refused, {} failed, {} given up, {} cut, \
+                 {timers} timers, in the module {} servers, {} calls, {} of them waiting; so far: {} calls, \
+                 {} stood, {} refused, {} failed, {} given up, {} cut, \
                  {} attempts, {} bad from callers, {} from servers, {} overdue",
                 module.servers,
                 module.calls,
--- a/crates/lemoncleat/src/decide.rs
+++ b/crates/lemoncleat/src/decide.rs
@@ -191,6 +191,12 @@
         self.wait_at = now;
     }
 
+    /// Takes off what the last own send added, up to that much.
+    fn take_off(&mut self, now: Micros, most: f64) {
+        self.settle(now);
+        self.wait = (self.wait - self.own.min(most)).max(0.0);
+    }
+
     /// The wait that a set-up sent now would meet.
     fn expected(&self, now: Micros) -> f64 {
         self.drained(now).max(self.silence(now))
@@ -568,8 +574,7 @@
             server.lineless.add(now, false);
             server.most_answered = server.most_answered.max(server.answered.all);
             // Of what its send added, its own work is done; what other nodes sent at that moment may not be.
-            server.settle(now);
-            server.wait = (server.wait - unit.min(server.own)).max(0.0);
+            server.take_off(now, unit);
             // It came some time during the stall, if there was one.
             let (most, least) = ((lag - base) as f64, (lag - base - stall).max(0) as f64);
             let wait = server.drained(now).clamp(least, most);
@@ -594,8 +599,7 @@
                 server.lineless.add(now, true);
                 server.next_line = now + freed as Micros;
                 // It made no work there.
-                server.settle(now);
-                server.wait = (server.wait - server.own).max(0.0);
+                server.take_off(now, server.own);
             }
             (Outcome::Moot, _) => {}
             (Outcome::Full, Reason::TurnedBack { .. }) => server.turned.add(now, true),
@@ -610,8 +614,7 @@
             (Outcome::Error, Reason::LinesBusy) => {}
             (Outcome::Error, _) => {
                 server.failed.add(now, true);
-                server.settle(now);
-                server.wait = (server.wait - (1e6 / rate).min(server.own)).max(0.0);
+                server.take_off(now, 1e6 / rate);
             }
             (Outcome::Reset, _) => server.failed.add(now, true),
             (Outcome::TimedOut | Outcome::Unreachable | Outcome::Cancelled, _) => {
