A server's connections are shared out over the fleet: one each at three hundred nodes

Ruled out: lines (told free) and processors (their 503 says cpu_full). At fault: MOST_OF_ONE and KEPT, 32 and 4 connections to a server whatever the number of nodes.

Changed: what eight nodes may hold at a server (8 x 32) is what all nodes together may; each has one at least, and set-ups share it. A call whose earlier attempt was given up on the only one still gets another.

--- a/crates/lemoncleat-access/src/node.rs
+++ b/crates/lemoncleat-access/src/node.rs
@@ -86,6 +86,8 @@
         let site = config.site;
         let longest_deadline = site.module.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
         let notes = Notes::new(&site.module, config.peers, config.peers_all);
+        let sockets = config.limits.sockets as usize;
+        let servers = Servers::new(sockets, site.dial_timeout, &site.zones, site.module.balancers);
         let memory = config.limits.memory_mb as usize * (1 << 20) / MEMORY_FOR_CALLS / MEMORY_OF_CALL;
         let held = if site.most_held > 0 { site.most_held as usize } else { usize::MAX };
         let mut node = AccessNode {
@@ -97,11 +99,11 @@
             longest_deadline,
             controller: Controller::new(site.module, config.seed)?,
             wheel: Wheel::new(),
-            callers: Callers::new(config.limits.sockets as usize),
+            callers: Callers::new(sockets),
             calls: BTreeMap::new(),
             standing: BTreeMap::new(),
             releases: Releases::default(),
-            servers: Servers::new(config.limits.sockets as usize, site.dial_timeout, &site.zones),
+            servers,
             journal: Journal::new(config.journal, config.known_to),
             notes,
             tracing: false,
--- a/crates/lemoncleat-access/src/servers.rs
+++ b/crates/lemoncleat-access/src/servers.rs
@@ -98,13 +98,17 @@
     dial_timeout: Micros,
     /// Connections and dials, at most.
     most: usize,
+    /// Connections that one server gets at most, whatever room there is.
+    most_of_one: usize,
 }
 
-/// Connections that one server gets at most, whatever room there is.
+/// Connections that one server gets of a node at most, ...
 const MOST_OF_ONE: usize = 32;
+/// ... and of all nodes together, as long as each has one: what eight nodes, the most of a small fleet, may hold.
+const MOST_OF_ALL: usize = 8 * MOST_OF_ONE;
 
 impl Servers {
-    pub(crate) fn new(sockets: usize, dial_timeout: Micros, zones: &[String]) -> Self {
+    pub(crate) fn new(sockets: usize, dial_timeout: Micros, zones: &[String], nodes: u32) -> Self {
         Servers {
             all: BTreeMap::new(),
             by_name: BTreeMap::new(),
@@ -116,6 +120,7 @@
             next_dial: 0,
             dial_timeout: if dial_timeout > 0 { dial_timeout } else { DIAL },
             most: sockets.saturating_sub(RESERVED) * 4 / 10,
+            most_of_one: (MOST_OF_ALL / nodes.max(1) as usize).clamp(1, MOST_OF_ONE),
         }
     }
 
@@ -205,9 +210,18 @@
     fn room(&self, server: ServerId) -> bool {
         let listed =
             self.all.values().filter(|server| server.availability == Availability::Ready).count().max(1);
-        let most = (self.most / listed).clamp(2, MOST_OF_ONE);
+        let most = (self.most / listed).max(2).min(self.most_of_one);
         let own = self.all.get(&server).map_or(0, |server| server.conns.len() + server.dials.len());
-        own < most && self.conns.len() + self.dials.len() < self.most
+        own < most && !self.is_full()
+    }
+
+    fn is_full(&self) -> bool {
+        self.conns.len() + self.dials.len() >= self.most
+    }
+
+    /// Connections to one server that are kept however idle.
+    fn kept(&self) -> usize {
+        KEPT.min(self.most_of_one)
     }
 
     fn sound_conn(&self, server: ServerId, but: Option<ConnId>) -> Option<ConnId> {
@@ -333,11 +347,13 @@
         if let (Some(conn), true) = (best, free || !self.servers.room(server)) {
             return Some(Carrier::Conn(conn));
         }
-        let dial = if self.servers.room(server) {
-            self.dial_server(server)
-        } else {
+        let under_way = self.servers.all.get(&server)?.dials.first().copied();
+        let dial = match under_way {
             // Nothing is up: it waits with others.
-            self.servers.all.get(&server)?.dials.first().copied()
+            Some(dial) if !self.servers.room(server) => Some(dial),
+            // Those that are up are of no use for it.
+            _ if !self.servers.is_full() => self.dial_server(server),
+            _ => None,
         };
         match dial {
             Some(dial) => {
@@ -737,13 +753,13 @@
                 } else if conn.standing > 0 {
                     mute.insert(conn.server);
                 }
-            } else if idle && own > KEPT {
+            } else if idle && own > self.servers.kept() {
                 stuck.push((id, "idle"));
             }
         }
         for (conn, why) in stuck {
             let left = self.servers.conns.get(&conn).and_then(|conn| self.servers.all.get(&conn.server));
-            if why != "idle" || left.is_some_and(|server| server.conns.len() > KEPT) {
+            if why != "idle" || left.is_some_and(|server| server.conns.len() > self.servers.kept()) {
                 self.drop_server_conn(conn, Some(why));
             }
         }
@@ -790,7 +806,7 @@
 
     #[test]
     fn set_ups_go_out_on_the_connection_with_the_least_on_it_that_is_sound_and_not_spent() {
-        let mut servers = Servers::new(256, 0, &[]);
+        let mut servers = Servers::new(256, 0, &[], 1);
         let conns = (1..=4).map(ConnId);
         let server = Server {
             name: "s-a".to_owned(),
--- a/crates/lemoncleat-access/src/timing.rs
+++ b/crates/lemoncleat-access/src/timing.rs
@@ -36,7 +36,8 @@
 pub const VANISHED: Micros = 5 * SECOND;
 /// Connections to a server with nothing open on them, beyond the first few, are closed after this.
 pub const IDLE_SERVER: Micros = 6 * SECOND;
-/// Connections to a server that are kept however idle: as many as its news of free lines come on.
+/// Connections to a server that are kept however idle: as many as its news of free lines come on, where the fleet
+/// is small enough for that.
 pub const KEPT: usize = 4;
 /// The journal service tells its last number every second; after this it counts as silent.
 pub const JOURNAL_SILENT: Micros = 2_200 * MS;
--- a/crates/lemoncleat-access/tests/servers.rs
+++ b/crates/lemoncleat-access/tests/servers.rs
@@ -543,3 +543,26 @@
     let caller = world.caller();
     world.standing_call(caller, ID);
 }
+
+/// Three hundred nodes share what connections a server has: one each, and set-ups share that.
+#[test]
+fn in_a_large_fleet_a_server_gets_one_connection_and_another_only_where_that_is_of_no_use() {
+    let mut world = World::with(|text| {
+        text.replace("[[0,1],[0,1]]", "[[0],[0]]").replace("\"balancers\":2", "\"balancers\":300")
+    });
+    let caller = world.caller();
+    for number in 1..=4 {
+        world.bytes(caller, &invite_for(&format!("{number:016x}"), "dear", LEGS, "4000"));
+    }
+    let mut all = world.invites();
+    assert_eq!(all.len(), 4);
+    let first = world.to(server_a());
+    assert_eq!(first.len(), 1, "all of them on one");
+    // What later answers overtook is lost there, and must not be tried there again.
+    for (_, conn, asked) in all.drain(1..) {
+        world.bytes(conn, &ok(&asked));
+    }
+    world.pass(600 * MS);
+    let (_, again, _) = world.invited();
+    assert_ne!(again, first[0]);
+}
