Standing calls get a fresh connection to look after them only where theirs is silent

Cause: sweep_servers dialled each server that holds a node's calls every 2 s (CHECK), healthy ones too. Their state comes every second on open connections (log of n0: 's- told' at 1.046, 2.047, 3.048, 4.048 ...).

Changed: a server is looked after so only when the quietest connection on which its standing calls were set up has been silent for CHECK, or while calls stand whose connection this node gave up: their end may be told into nothing.

--- a/crates/lemoncleat-access/src/servers.rs
+++ b/crates/lemoncleat-access/src/servers.rs
@@ -90,6 +90,9 @@
     all: BTreeMap<ServerId, Server>,
     by_name: BTreeMap<String, ServerId>,
     conns: BTreeMap<ConnId, ServerConn>,
+    /// Connections that this node gave up, with the calls that still stand of those set up there: their server may
+    /// not know, and tell their end into nothing.
+    forsaken: BTreeMap<ConnId, (ServerId, usize)>,
     dials: BTreeMap<DialId, Dial>,
     zones: Names,
     kinds: Names,
@@ -113,6 +116,7 @@
             all: BTreeMap::new(),
             by_name: BTreeMap::new(),
             conns: BTreeMap::new(),
+            forsaken: BTreeMap::new(),
             dials: BTreeMap::new(),
             zones: zones.iter().collect(),
             kinds: Names::default(),
@@ -159,11 +163,31 @@
         if let Some(server) = self.all.get_mut(&server) {
             server.standing = server.standing.saturating_add_signed(change);
         }
-        if let Some(conn) = conn.and_then(|conn| self.conns.get_mut(&conn)) {
+        let Some(id) = conn else { return };
+        if let Some(conn) = self.conns.get_mut(&id) {
             conn.standing = conn.standing.saturating_add_signed(change);
+        } else if let Some((_, standing)) = self.forsaken.get_mut(&id) {
+            *standing = standing.saturating_add_signed(change);
+            if *standing == 0 {
+                self.forsaken.remove(&id);
+            }
         }
     }
 
+    /// The moment up to which it is sure that all was heard of the calls that stand at each server: when the quietest
+    /// of the connections on which they were set up was heard last.
+    fn surely_heard(&self) -> BTreeMap<ServerId, Micros> {
+        let conns = self.conns.values().filter(|conn| conn.standing > 0);
+        let conns = conns.map(|conn| (conn.server, conn.heard_at));
+        let forsaken = self.forsaken.values().map(|&(server, _)| (server, 0));
+        let mut heard = BTreeMap::new();
+        for (server, at) in conns.chain(forsaken) {
+            let least = heard.entry(server).or_insert(at);
+            *least = at.min(*least);
+        }
+        heard
+    }
+
     /// A set-up was written on a connection.
     pub(crate) fn opened(&mut self, conn: ConnId, call: CallId, now: Micros) {
         if let Some(conn) = self.conns.get_mut(&conn) {
@@ -462,6 +486,9 @@
             server.conns.remove(&conn);
         }
         if let Some(why) = why {
+            if gone.standing > 0 {
+                self.servers.forsaken.insert(conn, (id, gone.standing));
+            }
             self.out.push(Output::Close(conn));
             let server = self.servers.name(id);
             self.notice(Notice::ServerConn { server, why, open: gone.open.len() });
@@ -763,12 +790,14 @@
                 self.drop_server_conn(conn, Some(why));
             }
         }
+        let heard = self.servers.surely_heard();
         let all: Vec<_> = self.servers.all.keys().copied().collect();
         for id in all {
             let Some(server) = self.servers.all.get(&id) else { continue };
             let held = server.standing > 0;
             let check = if mute.contains(&id) && self.servers.room(id) { MUTE } else { CHECK };
-            let stale = held && now - server.fresh_at > check;
+            let heard = heard.get(&id).copied().unwrap_or(server.heard_at);
+            let stale = held && now - server.fresh_at.max(heard) > check;
             // One that only takes nothing new goes on speaking of what it has.
             let vanished = server.unreachable && now - server.heard_at > VANISHED;
             if held && vanished {
--- a/crates/lemoncleat-access/src/timing.rs
+++ b/crates/lemoncleat-access/src/timing.rs
@@ -29,8 +29,9 @@
 pub const DIAL: Micros = 500 * MS;
 /// Pauses between dials to a server that has no connection: the first, and the longest.
 pub const REDIAL: (Micros, Micros) = (50 * MS, SECOND);
-/// A server that holds calls gets a new connection this often: a release that went out on one that has silently
-/// died comes on it again, and a machine that has vanished shows.
+/// A server that holds calls and is not heard on a connection of theirs gets a new one this often: a release that
+/// went out on one that has silently died comes on it again, and a machine that has vanished shows. Servers tell
+/// their state every second on open connections, so a sound one is hardly ever silent for as long.
 pub const CHECK: Micros = 2 * SECOND;
 /// A server that can't be reached, and has said nothing for this long, has lost its calls.
 pub const VANISHED: Micros = 5 * SECOND;
--- a/crates/lemoncleat-access/tests/servers.rs
+++ b/crates/lemoncleat-access/tests/servers.rs
@@ -566,3 +566,33 @@
     let (_, again, _) = world.invited();
     assert_ne!(again, first[0]);
 }
+
+/// In a fleet of hundreds a fresh connection for each server every two seconds is thousands a second.
+#[test]
+fn a_server_that_goes_on_telling_its_state_where_its_calls_stand_gets_no_fresh_connection() {
+    let mut world = World::new();
+    let caller = world.caller();
+    let (server, conn) = world.standing_call(caller, ID);
+    let fresh = |world: &World| world.every.iter().filter(|(to, _)| *to == server).count();
+    let before = fresh(&world);
+    for _ in 0..5 {
+        world.pass(SECOND);
+        world.bytes(conn, &notify("x0:40;x1:40"));
+    }
+    assert_eq!(fresh(&world), before);
+    // Its end may be told on a connection that was given up here, whatever is told on the others.
+    world.bytes(conn, b"\x01\x02\r\n\r\n");
+    for _ in 0..4 {
+        let other = *world.to(server).last().expect("a connection");
+        world.bytes(other, &notify("x0:40;x1:40"));
+        world.pass(SECOND);
+    }
+    assert!(fresh(&world) > before + 1);
+    let last = *world.to(server).last().expect("a connection");
+    world.read(caller);
+    world.bytes(last, &bye(ID, 16));
+    assert_eq!(methods(&world.read(caller)), [Method::Bye]);
+    let before = fresh(&world);
+    world.pass(SECOND);
+    assert_eq!(fresh(&world), before, "nothing stands there any more");
+}
