Waiting calls are not looked at again for each report, which the timer covers

Each of some hundreds of servers tells its state every second; each report made the module place every waiting call anew. Within LOOK (10 ms) the timer does that anyway, and what a report tells is far older.

--- a/crates/lemoncleat-access/examples/cost.rs
+++ b/crates/lemoncleat-access/examples/cost.rs
@@ -116,7 +116,9 @@
 }
 
 fn main() {
-    println!("microseconds for      a call   an event of the list   a report, 50 calls waiting   a look at them");
+    println!(
+        "microseconds for      a call   an event of the list   a report, 50 calls waiting   a look at them"
+    );
     for servers in [24, 300, 1_024] {
         let mut node = AccessNode::new(config(servers), 0).expect("settings");
         let mut first = Vec::new();
--- a/crates/lemoncleat/src/decide.rs
+++ b/crates/lemoncleat/src/decide.rs
@@ -382,6 +382,8 @@
             actions.push(Action::Watch(true));
         }
         let mut tick = false;
+        // Reports come from every server all the time, and are older than a look at calls is short.
+        let news = !matches!(event, Event::Probed { .. } | Event::Note { .. } | Event::CallerGone(_));
         match event {
             Event::Members(news) => self.members(news),
             Event::Call(call) => self.arrive(call, actions),
@@ -404,7 +406,7 @@
             Event::Probed { server, report, .. } => self.report(server, &report),
             Event::Note { .. } => {}
         }
-        self.review(tick, actions);
+        self.review(tick, news, actions);
     }
 
     /// Notices that this node itself had no turn when its timer was due. All that came meanwhile comes at
@@ -769,14 +771,14 @@
     }
 
     /// Looks again at the calls that wait, and at set-ups that other routes could still save.
-    fn review(&mut self, tick: bool, actions: &mut Vec<Action>) {
+    fn review(&mut self, tick: bool, news: bool, actions: &mut Vec<Action>) {
         if tick && self.stall <= LOOK {
             self.rescue(actions);
             self.log(actions);
             self.doubt();
         }
-        let waiting: Vec<CallId> = self.waiting.iter().map(|&(.., id)| id).collect();
-        for id in waiting {
+        let waiting = self.waiting.iter().filter(|_| news).map(|&(.., id)| id);
+        for id in waiting.collect::<Vec<_>>() {
             self.place(id, actions);
         }
         if !self.calls.is_empty() && !self.ticking {
