What a server is to every call is put together once for a look at all that wait

best() worked out a server's wait, silence and chances for every call that waits; only the call's own time and worth differ. They are put together once for a look, and anew for the server that a call was sent to.

--- a/crates/lemoncleat/src/decide.rs
+++ b/crates/lemoncleat/src/decide.rs
@@ -311,6 +311,23 @@
     least: f64,
 }
 
+/// A score and the route that it belongs to.
+type Best = Option<(f64, ServerId)>;
+
+/// What a server is to every call at this moment.
+#[derive(Clone, Copy)]
+struct Face {
+    id: ServerId,
+    place: i64,
+    zone: u32,
+    free: Option<f64>,
+    base: f64,
+    wait: f64,
+    /// Chance that a set-up comes about there, and that it is not turned back by it as a tandem.
+    stands: f64,
+    passes: f64,
+}
+
 /// The decisions of one access node.
 pub struct Controller {
     settings: Settings,
@@ -691,7 +708,7 @@
         let used_before = self.used_before(&call);
         let fresh = Pending { call, arrived, ends, released: arrived, used_before, ..Pending::default() };
         self.calls.insert(id, fresh);
-        self.place(id, actions);
+        self.place(id, &mut self.faces(), actions);
     }
 
     /// Time that earlier tries of the call used. Callers who dial again wait out what is left of the
@@ -731,11 +748,11 @@
         if how == Outcome::Error && why == Reason::LinesBusy {
             return self.give_up(id, actions);
         }
-        self.place(id, actions);
+        self.place(id, &mut self.faces(), actions);
     }
 
     /// Sends the call on its best route, lets it wait, or turns it away.
-    fn place(&mut self, id: CallId, actions: &mut Vec<Action>) {
+    fn place(&mut self, id: CallId, faces: &mut Vec<Face>, actions: &mut Vec<Action>) {
         let Some(pending) = self.calls.get(&id) else { return };
         if pending.out.is_some() {
             return;
@@ -744,9 +761,15 @@
             return self.wait(id);
         }
         let at = self.now.max(pending.released);
-        let best = self.best(pending, at, None);
+        let best = self.best(faces, pending, at, None);
         match best {
-            Some((_, to)) if at == self.now => self.send(id, to, actions),
+            Some((_, to)) if at == self.now => {
+                self.send(id, to, actions);
+                if let Some(at) = faces.iter().position(|face| face.id == to) {
+                    let anew = self.servers.get(&to).and_then(|server| self.face(to, server));
+                    faces.splice(at..=at, anew);
+                }
+            }
             Some(_) => self.wait(id),
             None if self.may_wait(pending) => self.wait(id),
             None => self.give_up(id, actions),
@@ -761,7 +784,10 @@
             && used < HOLD * class.aim as f64
             && self.now < pending.ends - LOOK - self.stalled.0
             && pending.attempts < self.settings.max_attempts
-            && self.servers.iter().any(|(&id, server)| self.permitted(pending, id, server))
+            && self
+                .servers
+                .iter()
+                .any(|(&id, one)| one.ready && self.permitted(pending, id, one.place, one.zone))
     }
 
     fn wait(&mut self, id: CallId) {
@@ -777,9 +803,11 @@
             self.log(actions);
             self.doubt();
         }
-        let waiting = self.waiting.iter().filter(|_| news).map(|&(.., id)| id);
-        for id in waiting.collect::<Vec<_>>() {
-            self.place(id, actions);
+        if news && !self.waiting.is_empty() {
+            let mut faces = self.faces();
+            for id in self.waiting.iter().map(|&(.., id)| id).collect::<Vec<_>>() {
+                self.place(id, &mut faces, actions);
+            }
         }
         if !self.calls.is_empty() && !self.ticking {
             self.ticking = true;
@@ -834,7 +862,7 @@
         if !self.settings.may_cancel {
             return;
         }
-        let mut cancelled = Vec::new();
+        let (mut cancelled, faces) = (Vec::new(), OnceCell::new());
         for (&id, pending) in &self.calls {
             let Some(out) = pending.out else { continue };
             let Some(server) = self.servers.get(&out.server) else { continue };
@@ -849,7 +877,8 @@
             let stay = if lost { 0.0 } else { self.gain(pending, self.now, 1.0, age) };
             // The server that answers what came after it may well take it anew.
             let but = (!lost).then_some(out.server);
-            let Some((score, _)) = self.best(pending, at, but) else { continue };
+            let faces = faces.get_or_init(|| self.faces());
+            let Some((score, _)) = self.best(faces, pending, at, but) else { continue };
             if score > stay + RESCUE * class.worth {
                 cancelled.push(id);
             }
@@ -917,13 +946,13 @@
 
     // ---- The score ----
 
-    /// Whether rules and settings let this call go to this server at all.
-    fn permitted(&self, pending: &Pending, id: ServerId, server: &Server) -> bool {
+    /// Whether rules and settings let this call go to a server of this place and zone at all.
+    fn permitted(&self, pending: &Pending, id: ServerId, place: i64, zone: u32) -> bool {
         let (call, class) = (&pending.call, &self.settings.classes[pending.call.class]);
-        let direct = server.place == call.destination;
+        let direct = place == call.destination;
         let listed = match (self.settings.home, &class.allowed) {
-            (Some(home), _) => server.place != home && (direct || !call.in_transit),
-            (None, Some(pools)) => pools.contains(&server.place),
+            (Some(home), _) => place != home && (direct || !call.in_transit),
+            (None, Some(pools)) => pools.contains(&place),
             (None, None) => true,
         };
         let repeatable = match (pending.may_have_run, class.effect) {
@@ -932,31 +961,71 @@
             (Some((sent, first)), Effect::Dedup) => {
                 let same = self.servers.get(&first).is_some_and(|first| match class.dedup_group {
                     DedupGroup::All => true,
-                    DedupGroup::Zone => first.zone == server.zone,
-                    DedupGroup::Cell => first.place == server.place,
+                    DedupGroup::Zone => first.zone == zone,
+                    DedupGroup::Cell => first.place == place,
                 });
                 (id == first || same) && self.now - sent < class.dedup_window
             }
         };
-        server.ready && listed && repeatable
+        listed && repeatable
+    }
+
+    /// The servers that are open to calls at this moment.
+    fn faces(&self) -> Vec<Face> {
+        self.servers.iter().filter_map(|(&id, server)| self.face(id, server)).collect()
+    }
+
+    fn face(&self, id: ServerId, server: &Server) -> Option<Face> {
+        let now = self.now;
+        let cold = self.warmth(server) < 1.0;
+        if !server.ready || server.next_line > now || cold && server.next_cold > now {
+            return None;
+        }
+        // A silent server gets lone trial calls, of those that nothing better takes: silence must not keep
+        // it out for good.
+        let silent = server.health(now, self.pressed) == Health::Silent;
+        if silent {
+            let fleet = (f64::from(self.settings.balancers) * 1e6
+                / (TRIAL_USE * self.warm_rate(server.place)))
+            .min(TRIAL_MOST * AGEING);
+            let quiet = (now - server.last_sent) as f64;
+            if quiet < fleet * (server.lost.max(1) - 1 + server.open.len()) as f64 {
+                return None;
+            }
+        }
+        let mut stands = (1.0 - server.failed.value(now)) * (1.0 - server.lineless.value(now));
+        if silent || server.doubted {
+            stands *= AGAIN;
+        }
+        Some(Face {
+            id,
+            place: server.place,
+            zone: server.zone,
+            free: server.free,
+            base: server.base(),
+            wait: if silent { server.drained(now) } else { server.expected(now) },
+            stands,
+            passes: 1.0 - server.turned.value(now),
+        })
     }
 
     /// The route of the best score above zero for a call that would be sent at the moment `at`.
-    fn best(&self, pending: &Pending, at: Micros, but: Option<ServerId>) -> Option<(f64, ServerId)> {
+    fn best(&self, faces: &[Face], pending: &Pending, at: Micros, but: Option<ServerId>) -> Best {
         if pending.attempts >= self.settings.max_attempts || at >= pending.ends {
             return None;
         }
         let near = NEAR * self.cheapest;
-        let mut best: Option<(f64, ServerId)> = None;
-        for (&id, server) in &self.servers {
-            if but == Some(id) || !self.permitted(pending, id, server) {
+        let mut best: Best = None;
+        for face in faces {
+            let id = face.id;
+            if but == Some(id) || !self.permitted(pending, id, face.place, face.zone) {
                 continue;
             }
-            let mut score = self.score(pending, server, at);
+            let mut score = self.score(pending, face, at);
             if score > 0.0 {
                 // The first choice wins near-ties and chance settles them between the others, so that
                 // nodes with one view don't herd.
-                let direct = server.place == pending.call.destination;
+                let direct = face.place == pending.call.destination;
                 let mark = (pending.call.id.0 << 16) ^ (u64::from(id.0) + 1);
                 score += near * if direct { 1.0 } else { self.draw(mark) };
             }
@@ -967,39 +1036,22 @@
         best
     }
 
-    fn score(&self, pending: &Pending, server: &Server, at: Micros) -> f64 {
+    fn score(&self, pending: &Pending, face: &Face, at: Micros) -> f64 {
         let (now, call) = (self.now, &pending.call);
-        let direct = server.place == call.destination;
-        let cold = self.warmth(server) < 1.0;
-        let quiet = (now - server.last_sent) as f64;
-        let barred = server.free.is_some_and(|free| free < call.width)
-            || server.next_line > now
-            || cold && server.next_cold > now;
-        if barred {
+        let direct = face.place == call.destination;
+        if face.free.is_some_and(|free| free < call.width) {
             return f64::NEG_INFINITY;
         }
-        // A silent server gets lone trial calls, of those that nothing better takes: silence must not keep
-        // it out for good.
-        let silent = server.health(now, self.pressed) == Health::Silent;
-        let fleet = (f64::from(self.settings.balancers) * 1e6 / (TRIAL_USE * self.warm_rate(server.place)))
-            .min(TRIAL_MOST * AGEING);
-        if silent && quiet < fleet * (server.lost.max(1) - 1 + server.open.len()) as f64 {
-            return f64::NEG_INFINITY;
-        }
-        let mut wait = if silent { server.drained(now) } else { server.expected(now) };
-        let mut stands = (1.0 - server.failed.value(now)) * (1.0 - server.lineless.value(now));
+        let (mut wait, mut stands) = (face.wait, face.stands);
         if !direct && self.settings.home.is_some() {
             // Two legs: the tandem's own refusals, and the destination's processor behind it.
-            stands *= 1.0 - server.turned.value(now);
+            stands *= face.passes;
             if let Some(far) = self.servers.values().find(|far| far.place == call.destination) {
                 stands *= 1.0 - far.failed.value(now);
                 wait += far.expected(now);
             }
         }
-        if silent || server.doubted {
-            stands *= AGAIN;
-        }
-        let gain = self.gain(pending, at, stands, server.base() + wait);
+        let gain = self.gain(pending, at, stands, face.base + wait);
         let price = self.cheapest * (wait / self.pressed).powi(PRICE_POWER) * call.width;
         gain - price - if direct { 0.0 } else { SECOND_COST * self.cheapest }
     }
