--- a/crates/lemoncleat/src/decide.rs
+++ b/crates/lemoncleat/src/decide.rs
@@ -11,6 +11,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::interface::*;
+use crate::random::Random;
 
 /// Cost of a route over a second choice, in worths of the cheapest class: a small handicap.
 const SECOND_COST: f64 = 0.03;
@@ -340,7 +341,7 @@
     /// Calls waiting to be sent, dearest first, then oldest.
     waiting: BTreeSet<(Reverse<u64>, Micros, CallId)>,
     usual: Vec<Usual>,
-    random: u64,
+    random: Random,
     ticking: bool,
     watched: bool,
     now: Micros,
@@ -378,7 +379,7 @@
             rates: OnceCell::new(),
             calls: BTreeMap::new(),
             waiting: BTreeSet::new(),
-            random: seed,
+            random: Random::new(seed),
             ticking: false,
             watched: false,
             now: 0,
@@ -459,19 +460,6 @@
         })
     }
 
-    fn chance(&mut self) -> f64 {
-        self.random = self.random.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        self.draw(0)
-    }
-
-    /// A number from 0 to 1 that this node, and no other, gives to `mark` at this moment (SplitMix64).
-    fn draw(&self, mark: u64) -> f64 {
-        let mut bits = self.random ^ mark.wrapping_mul(0x9e37_79b9_7f4a_7c15);
-        bits = (bits ^ (bits >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        bits = (bits ^ (bits >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        ((bits ^ (bits >> 31)) >> 11) as f64 / (1u64 << 53) as f64
-    }
-
     // ---- The list of servers ----
 
     fn members(&mut self, news: MemberNews) {
@@ -511,7 +499,7 @@
 
     fn member(&mut self, member: &Member) {
         let now = self.now;
-        let first = self.chance();
+        let first = self.random.chance();
         let anew = member.started_at.is_some()
             && self.servers.get(&member.server).is_none_or(|server| server.started_at != member.started_at);
         let spacing = if anew { self.cold_spacing(member.place, self.settings.cold_from) } else { 0.0 };
@@ -893,7 +881,7 @@
     fn send(&mut self, id: CallId, to: ServerId, actions: &mut Vec<Action>) {
         let now = self.now;
         let (nodes, pressed) = (f64::from(self.settings.balancers), self.pressed);
-        let jitter = 0.75 + 0.5 * self.chance();
+        let jitter = 0.75 + 0.5 * self.random.chance();
         let Some(server) = self.servers.get(&to) else { return };
         let (cold, unit) = (self.warmth(server), 1e6 / self.warm_rate(server.place));
         let spacing = self.cold_spacing(server.place, cold) * jitter;
@@ -1027,7 +1015,7 @@
                 // nodes with one view don't herd.
                 let direct = face.place == pending.call.destination;
                 let mark = (pending.call.id.0 << 16) ^ (u64::from(id.0) + 1);
-                score += near * if direct { 1.0 } else { self.draw(mark) };
+                score += near * if direct { 1.0 } else { self.random.draw(mark) };
             }
             if score > 0.0 && best.is_none_or(|(top, _)| score > top) {
                 best = Some((score, id));
--- a/crates/lemoncleat/src/lib.rs
+++ b/crates/lemoncleat/src/lib.rs
@@ -31,6 +31,7 @@
 
 mod decide;
 mod interface;
+mod random;
 
 /// The examples of the README, kept true by the tests.
 #[cfg(doctest)]
