A caller's time counts from its set-up's last byte, also while that waits to be read

Deadline::new took the moment at which the core was told, so that a set-up that had waited unread got its answer later by as much. Changed: readers stamp what they read with the earliest moment at which it can have come (the loop's turn before, or the wait for room in the loop's queue); the core's deadline and guard count from there. Timers that are due run before each event of a turn, not only after 64 of them.

--- a/crates/lemoncleat-access/src/calls.rs
+++ b/crates/lemoncleat-access/src/calls.rs
@@ -95,7 +95,7 @@
             self.stats.refused += 1;
             return self.send(conn, response(503, "Service Unavailable", &message).finish(b""));
         }
-        let deadline = Deadline::new(self.now, invite.patience, ANSWER_MARGIN);
+        let deadline = Deadline::new(self.came, invite.patience, ANSWER_MARGIN);
         let guard = self.wheel.set(deadline.last_moment(), Timer::Guard(id));
         if let Some(caller) = self.callers.conns.get_mut(&conn) {
             caller.open += 1;
--- a/crates/lemoncleat-access/src/interface.rs
+++ b/crates/lemoncleat-access/src/interface.rs
@@ -32,6 +32,8 @@
     },
     /// Bytes came.
     Bytes(ConnId, &'a [u8]),
+    /// Bytes came that may have waited to be read for as long as this, while the loop was at work.
+    Waited(ConnId, &'a [u8], Micros),
     /// The other side closed, or the connection broke.
     Closed(ConnId),
     /// A note of another node.
--- a/crates/lemoncleat-access/src/node.rs
+++ b/crates/lemoncleat-access/src/node.rs
@@ -46,6 +46,8 @@
 pub struct AccessNode {
     pub(crate) name: String,
     pub(crate) now: Micros,
+    /// When the bytes that are being taken in came, at the earliest.
+    pub(crate) came: Micros,
     /// Unix time, in microseconds, at the moment 0.
     pub(crate) epoch: Micros,
     pub(crate) classes: Vec<String>,
@@ -93,6 +95,7 @@
         let mut node = AccessNode {
             name: config.name,
             now: 0,
+            came: 0,
             epoch,
             classes: site.classes,
             most_open: memory.min(held),
@@ -128,6 +131,7 @@
     /// Takes one input in at the moment `now` and adds what is to be done to `outputs`.
     pub fn handle(&mut self, now: Micros, input: Input<'_>, outputs: &mut Vec<Output>) {
         self.now = self.now.max(now);
+        self.came = self.now;
         match input {
             Input::Accepted(conn) => self.caller_accepted(conn),
             Input::NotQuiet(conn) => self.keep_caller(conn),
@@ -145,12 +149,11 @@
                     self.server_dial_failed(dial, refused);
                 }
             }
-            Input::Bytes(conn, bytes) => match self.end_of(conn) {
-                Some(End::Caller) => self.caller_bytes(conn, bytes),
-                Some(End::Server) => self.server_bytes(conn, bytes),
-                Some(End::Journal) => self.journal_bytes(bytes),
-                None => {}
-            },
+            Input::Bytes(conn, bytes) => self.bytes(conn, bytes),
+            Input::Waited(conn, bytes, waited) => {
+                self.came = self.now - waited.max(0);
+                self.bytes(conn, bytes);
+            }
             Input::Closed(conn) => match self.end_of(conn) {
                 Some(End::Caller) => self.caller_closed(conn),
                 Some(End::Server) => self.server_closed(conn),
@@ -181,6 +184,15 @@
         self.stats
     }
 
+    fn bytes(&mut self, conn: ConnId, bytes: &[u8]) {
+        match self.end_of(conn) {
+            Some(End::Caller) => self.caller_bytes(conn, bytes),
+            Some(End::Server) => self.server_bytes(conn, bytes),
+            Some(End::Journal) => self.journal_bytes(bytes),
+            None => {}
+        }
+    }
+
     fn end_of(&self, conn: ConnId) -> Option<End> {
         if self.callers.holds(conn) {
             Some(End::Caller)
--- a/crates/lemoncleat-access/tests/callers.rs
+++ b/crates/lemoncleat-access/tests/callers.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::*;
+use lemoncleat_access::Input;
 use lemoncleat_sip::{request, Message, Method};
 
 const ID: &str = "9b1f03aa5c7e2d41";
@@ -222,3 +223,24 @@
     world.pass(12 * SECOND);
     assert!(world.closed.contains(&idle));
 }
+
+/// A caller's time runs from the last byte of its set-up, also while that waits to be read.
+#[test]
+fn the_deadline_counts_from_when_a_set_up_came_though_it_was_read_later() {
+    let mut world = World::with(|text| text.replace("[[0,1],[0,1]]", "[[0],[0]]"));
+    world.pass(5 * SECOND);
+    let (caller, begun) = (world.caller(), world.now);
+    let set_up = invite_for(ID, "dear", LEGS, "1500");
+    world.input(Input::Waited(caller, &set_up, 600 * MS));
+    assert_eq!(world.invites().len(), 1, "it is still worth an attempt");
+    while world.answers.is_empty() && world.now < begun + 2 * SECOND {
+        world.pass(5 * MS);
+    }
+    assert!(world.now <= begun + 900 * MS, "answered {} ms after it was read", (world.now - begun) / MS);
+    // One whose time is over is answered at once, and nobody is asked.
+    let late = invite_for("00000000000000d1", "dear", LEGS, "1500");
+    world.input(Input::Waited(caller, &late, 1_600 * MS));
+    world.input(Input::Timeout);
+    assert!(world.invites().is_empty());
+    assert_eq!(world.answers["00000000000000d1"].len(), 1);
+}
--- a/crates/lemoncleat-net/src/lib.rs
+++ b/crates/lemoncleat-net/src/lib.rs
@@ -91,7 +91,8 @@
 enum Raw<M> {
     Accepted(u64, Async<TcpStream>),
     Dialled(u64, u64, io::Result<Async<TcpStream>>),
-    Bytes(u64, Vec<u8>),
+    /// And since when they have waited, at the earliest.
+    Bytes(u64, Vec<u8>, Instant),
     Closed(u64),
     Writable(u64),
     /// A handshake has had its time.
@@ -205,6 +206,11 @@
     next: u64,
     /// Events that came of one raw one.
     ready: VecDeque<Event<M>>,
+    /// How long the loop was last at work without the readers having their turn, and since when it is now.
+    at_work: Rc<Cell<Duration>>,
+    woke: Instant,
+    /// Since when the bytes that were given last have waited, at the earliest.
+    since: Instant,
     listener_tls: HashMap<u64, ListenerTls>,
     /// Dials that are to speak TLS: with whom, how, and how long the handshake may take.
     dial_tls: HashMap<u64, (ServerName<'static>, Arc<ClientConfig>, Duration)>,
@@ -241,6 +247,9 @@
             dials: HashMap::new(),
             next: 0,
             ready: VecDeque::new(),
+            at_work: Rc::default(),
+            woke: Instant::now(),
+            since: Instant::now(),
             listener_tls: HashMap::new(),
             dial_tls: HashMap::new(),
             handshakes: HashMap::new(),
@@ -357,8 +366,9 @@
         let (reading, sender) = (stream.clone(), self.sender.clone());
         let buffer = self.buffer.clone();
         let queued = Rc::new(Cell::new(0));
-        let count = queued.clone();
+        let (count, at_work) = (queued.clone(), self.at_work.clone());
         let reader = self.executor.spawn(async move {
+            let mut held_up = Duration::ZERO;
             loop {
                 // The loop below reads only when the reactor says so, or at once if something is there. Nothing is
                 // held of the shared buffer across a wait.
@@ -367,8 +377,12 @@
                     let count = socket.read(&mut buffer)?;
                     Ok(buffer[..count].to_vec())
                 });
-                let raw = match read.await {
-                    Ok(bytes) if !bytes.is_empty() => Raw::Bytes(id, bytes),
+                let read = read.await;
+                let now = Instant::now();
+                // It came while the loop was at work, or while this reader waited for room in the queue.
+                let since = now.checked_sub(held_up.max(at_work.get())).unwrap_or(now);
+                let raw = match read {
+                    Ok(bytes) if !bytes.is_empty() => Raw::Bytes(id, bytes, since),
                     _ => Raw::Closed(id),
                 };
                 let last = matches!(raw, Raw::Closed(_));
@@ -376,6 +390,7 @@
                 if sender.send(raw).await.is_err() || last {
                     return;
                 }
+                held_up = now.elapsed();
             }
         });
         let conn = Conn {
@@ -665,7 +680,8 @@
                     }
                 }
             }
-            Raw::Bytes(conn, bytes) => {
+            Raw::Bytes(conn, bytes, since) => {
+                self.since = since;
                 let state = self.conns.get(&conn)?;
                 state.queued.set(state.queued.get().saturating_sub(1));
                 if state.tls.is_some() {
@@ -691,11 +707,21 @@
         })
     }
 
+    /// Since when the bytes that were given last have waited to be read and taken, at the earliest. While the loop
+    /// keeps up that is a moment ago; bytes that came during a long turn count from its beginning.
+    pub fn waited_since(&self) -> Instant {
+        self.since
+    }
+
     /// The next event; `None` when the moment has come first, or when only writing went on.
     pub async fn next(&mut self, until: Option<Instant>) -> Option<Event<M>> {
         if let Some(event) = self.ready.pop_front() {
             return Some(event);
         }
+        if let Ok(raw) = self.events.try_recv() {
+            return self.event(raw);
+        }
+        self.at_work.set(self.woke.elapsed());
         let raw = match until {
             Some(until) if until <= Instant::now() => {
                 // A loop that is behind must not keep its own readers from their turn.
@@ -711,6 +737,7 @@
             }
             None => self.events.recv().await.ok(),
         };
+        self.woke = Instant::now();
         self.event(raw?)
     }
 
--- a/crates/lemoncleat-service/src/access.rs
+++ b/crates/lemoncleat-service/src/access.rs
@@ -151,7 +151,13 @@
             let until = Instant::now() + BATCH_TIME;
             for _ in 0..BATCH {
                 match event.take() {
-                    Some(event) => self.event(event),
+                    Some(event) => {
+                        // What is overdue comes before what is new.
+                        if self.node.wake().is_some_and(|at| at <= self.clock()) {
+                            self.handle(Input::Timeout);
+                        }
+                        self.event(event);
+                    }
                     None => break,
                 }
                 if Instant::now() > until {
@@ -179,7 +185,10 @@
             Event::DialFailed { tag, refused } => {
                 self.handle(Input::DialFailed { dial: DialId(tag), refused });
             }
-            Event::Bytes { conn, bytes } => self.handle(Input::Bytes(ConnId(conn), &bytes)),
+            Event::Bytes { conn, bytes } => {
+                let waited = self.net.waited_since().elapsed().as_micros() as Micros;
+                self.handle(Input::Waited(ConnId(conn), &bytes, waited));
+            }
             Event::Closed { conn } => self.handle(Input::Closed(ConnId(conn))),
             Event::Message(AccessControl::Datagram(from, bytes)) => {
                 self.handle(Input::Datagram(from, &bytes))
