A full budget of connections makes room for a set-up by closing the one missed least

Cause (read, then shown by the test): mind_server dialled every listed server whatever the budget, 1,024 at 256 descriptors, and carrier() gave a set-up to a server without a connection no way once the budget was used up, though idle ones were open. Changed: servers are dialled on their own while there is room, each node beginning elsewhere; a set-up, a release owed or calls that stand close the connection that is missed least. room() no longer counts the servers for each dial, and the sender of a note is looked up, not searched. A caller's connection is closed for idleness only if nothing lies there unread. Tests: 1,024 servers and 1,024 nodes before 256 descriptors and 32 MB; an idle connection with something unread.

--- a/crates/lemoncleat-access/src/callers.rs
+++ b/crates/lemoncleat-access/src/callers.rs
@@ -14,6 +14,9 @@
 /// that are being closed gently.
 pub(crate) const RESERVED: usize = 56;
 
+/// Why a connection is closed that may bring anything but the rest of a message.
+const UNFINISHED: &str = "a message without an end";
+
 /// One connection.
 pub(crate) struct Caller {
     reader: Reader,
@@ -65,7 +68,7 @@
     pub(crate) fn caller_accepted(&mut self, conn: ConnId) {
         if self.callers.conns.len() >= self.callers.most {
             match self.callers.least() {
-                Some(least) => self.close_for_room(least),
+                Some(least) => self.close_if_quiet(least, "room was needed"),
                 None => {
                     self.notice(Notice::CallerClosed("there is no room"));
                     return self.out.push(Output::Close(conn));
@@ -194,11 +197,11 @@
         self.releases_unsent(conn);
     }
 
-    /// Closes a connection for another, unless something waits there to be read.
-    fn close_for_room(&mut self, conn: ConnId) {
+    /// Closes a connection, unless something waits there to be read.
+    fn close_if_quiet(&mut self, conn: ConnId, why: &'static str) {
         if self.callers.conns.remove(&conn).is_some() {
             self.out.push(Output::CloseIfQuiet(conn));
-            self.notice(Notice::CallerClosed("room was needed"));
+            self.notice(Notice::CallerClosed(why));
             self.caller_lost(conn);
         }
     }
@@ -216,7 +219,7 @@
         let mut close = Vec::new();
         for (&conn, caller) in &self.callers.conns {
             if caller.partial.is_some_and(|since| now - since > SILENT_CALLER) {
-                close.push((conn, "a message without an end"));
+                close.push((conn, UNFINISHED));
             } else if caller.open > 0 {
                 continue;
             } else if caller.useful.is_none() && now - caller.accepted > SILENT_CALLER {
@@ -226,7 +229,12 @@
             }
         }
         for (conn, why) in close {
-            self.hang_up(conn, why);
+            if why == UNFINISHED {
+                self.hang_up(conn, why);
+            } else {
+                // What a node short of processor time has not read yet may be a set-up.
+                self.close_if_quiet(conn, why);
+            }
         }
     }
 }
--- a/crates/lemoncleat-access/src/node.rs
+++ b/crates/lemoncleat-access/src/node.rs
@@ -89,7 +89,8 @@
         let longest_deadline = site.module.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
         let notes = Notes::new(&site.module, config.peers, config.peers_all);
         let sockets = config.limits.sockets as usize;
-        let servers = Servers::new(sockets, site.dial_timeout, &site.zones, site.module.balancers);
+        let (nodes, seed) = (site.module.balancers, config.seed);
+        let servers = Servers::new(sockets, site.dial_timeout, &site.zones, nodes, seed);
         let memory = config.limits.memory_mb as usize * (1 << 20) / MEMORY_FOR_CALLS / MEMORY_OF_CALL;
         let held = if site.most_held > 0 { site.most_held as usize } else { usize::MAX };
         let mut node = AccessNode {
--- a/crates/lemoncleat-access/src/notes.rs
+++ b/crates/lemoncleat-access/src/notes.rs
@@ -1,5 +1,6 @@
 //! Notes between access nodes.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 
 use lemoncleat::{Event, Settings};
@@ -14,21 +15,23 @@
 pub(crate) struct Notes {
     allowed: bool,
     peers: Vec<SocketAddr>,
+    numbers: HashMap<SocketAddr, u32>,
     all: Option<SocketAddr>,
 }
 
 impl Notes {
     pub(crate) fn new(settings: &Settings, peers: Vec<SocketAddr>, all: Option<SocketAddr>) -> Self {
-        Notes { allowed: settings.may_tell, peers, all }
+        let numbers = peers.iter().zip(0..).map(|(&peer, number)| (peer, number)).collect();
+        Notes { allowed: settings.may_tell, peers, numbers, all }
     }
 }
 
 impl AccessNode {
     /// A note that came; those of unknown senders are dropped.
     pub(crate) fn note(&mut self, from: SocketAddr, bytes: &[u8]) {
-        let sender = self.notes.peers.iter().position(|peer| *peer == from);
+        let sender = self.notes.numbers.get(&from).copied();
         if let (Some(from), true) = (sender, self.notes.allowed && bytes.len() <= LONGEST) {
-            self.tell(Event::Note { from: from as u32, bytes: bytes.to_vec() });
+            self.tell(Event::Note { from, bytes: bytes.to_vec() });
         }
     }
 
--- a/crates/lemoncleat-access/src/servers.rs
+++ b/crates/lemoncleat-access/src/servers.rs
@@ -103,6 +103,10 @@
     most: usize,
     /// Connections that one server gets at most, whatever room there is.
     most_of_one: usize,
+    /// Servers that take calls.
+    listed: usize,
+    /// Where this node begins with what it does to all servers, so that a fleet does not do it in step.
+    first: u64,
 }
 
 /// Connections that one server gets of a node at most, ...
@@ -111,7 +115,7 @@
 const MOST_OF_ALL: usize = 8 * MOST_OF_ONE;
 
 impl Servers {
-    pub(crate) fn new(sockets: usize, dial_timeout: Micros, zones: &[String], nodes: u32) -> Self {
+    pub(crate) fn new(sockets: usize, dial_timeout: Micros, zones: &[String], nodes: u32, seed: u64) -> Self {
         Servers {
             all: BTreeMap::new(),
             by_name: BTreeMap::new(),
@@ -125,6 +129,8 @@
             dial_timeout: if dial_timeout > 0 { dial_timeout } else { DIAL },
             most: sockets.saturating_sub(RESERVED) * 4 / 10,
             most_of_one: (MOST_OF_ALL / nodes.max(1) as usize).clamp(1, MOST_OF_ONE),
+            listed: 0,
+            first: seed,
         }
     }
 
@@ -232,13 +238,28 @@
     }
 
     fn room(&self, server: ServerId) -> bool {
-        let listed =
-            self.all.values().filter(|server| server.availability == Availability::Ready).count().max(1);
-        let most = (self.most / listed).max(2).min(self.most_of_one);
+        let most = (self.most / self.listed.max(1)).max(2).min(self.most_of_one);
         let own = self.all.get(&server).map_or(0, |server| server.conns.len() + server.dials.len());
         own < most && !self.is_full()
     }
 
+    /// All of them, beginning where this node does.
+    fn in_own_order(&self) -> Vec<ServerId> {
+        let mut all: Vec<_> = self.all.keys().copied().collect();
+        if !all.is_empty() {
+            let first = (self.first % all.len() as u64) as usize;
+            all.rotate_left(first);
+        }
+        all
+    }
+
+    /// The connection that is missed least: nothing is open on it, best nothing stands there either, and of those
+    /// the one used longest ago.
+    fn least(&self, but: ServerId) -> Option<ConnId> {
+        let idle = self.conns.iter().filter(|(_, conn)| conn.open.is_empty() && conn.server != but);
+        idle.min_by_key(|(_, conn)| (conn.standing > 0, conn.used_at.max(conn.opened_at))).map(|(id, _)| *id)
+    }
+
     fn is_full(&self) -> bool {
         self.conns.len() + self.dials.len() >= self.most
     }
@@ -295,14 +316,15 @@
                 self.unbind(id);
             }
         }
+        let all = self.servers.all.values();
+        self.servers.listed = all.filter(|server| server.availability == Availability::Ready).count();
         self.displace();
         if self.tracing {
             self.tell_servers();
         }
         let news = if news.complete { MemberNews::Complete(members) } else { MemberNews::Changes(members) };
         self.tell_members(news);
-        let all: Vec<_> = self.servers.all.keys().copied().collect();
-        for id in all {
+        for id in self.servers.in_own_order() {
             self.mind_server(id);
         }
     }
@@ -376,7 +398,7 @@
             // Nothing is up: it waits with others.
             Some(dial) if !self.servers.room(server) => Some(dial),
             // Those that are up are of no use for it.
-            _ if !self.servers.is_full() => self.dial_server(server),
+            _ if self.make_room(server) => self.dial_server(server),
             _ => None,
         };
         match dial {
@@ -388,6 +410,20 @@
         }
     }
 
+    /// Sees to it that a server can be dialled: where the budget is used up, the connection that is missed least is
+    /// closed. A server that holds calls is not lost with it: it tells their end on the next one.
+    fn make_room(&mut self, server: ServerId) -> bool {
+        while self.servers.is_full() {
+            let Some(least) = self.servers.least(server) else { return false };
+            let Some(gone) = self.servers.conns.remove(&least) else { return false };
+            if let Some(server) = self.servers.all.get_mut(&gone.server) {
+                server.conns.remove(&least);
+            }
+            self.out.push(Output::Close(least));
+        }
+        true
+    }
+
     fn dial_server(&mut self, id: ServerId) -> Option<DialId> {
         let dial = self.servers.next_dial();
         let timeout = self.servers.dial_timeout;
@@ -511,7 +547,7 @@
         let needed = self.servers.all.get(&id).is_some_and(|server| {
             server.standing > 0 && server.dials.is_empty() && !server.displaced && self.now >= server.dial_at
         });
-        if needed {
+        if needed && self.make_room(id) {
             self.dial_server(id);
         }
     }
@@ -543,7 +579,8 @@
         if bare && server.displaced {
             return self.lose_standing(id, Micros::MAX, "another server stands at its address");
         }
-        if bare && now >= server.dial_at {
+        let wanted = server.standing > 0 || !server.owed.is_empty();
+        if bare && now >= server.dial_at && (!self.servers.is_full() || wanted && self.make_room(id)) {
             self.dial_server(id);
         }
     }
@@ -791,8 +828,7 @@
             }
         }
         let heard = self.servers.surely_heard();
-        let all: Vec<_> = self.servers.all.keys().copied().collect();
-        for id in all {
+        for id in self.servers.in_own_order() {
             let Some(server) = self.servers.all.get(&id) else { continue };
             let held = server.standing > 0;
             let check = if mute.contains(&id) && self.servers.room(id) { MUTE } else { CHECK };
@@ -835,7 +871,7 @@
 
     #[test]
     fn set_ups_go_out_on_the_connection_with_the_least_on_it_that_is_sound_and_not_spent() {
-        let mut servers = Servers::new(256, 0, &[], 1);
+        let mut servers = Servers::new(256, 0, &[], 1, 0);
         let conns = (1..=4).map(ConnId);
         let server = Server {
             name: "s-a".to_owned(),
--- a/crates/lemoncleat-access/tests/callers.rs
+++ b/crates/lemoncleat-access/tests/callers.rs
@@ -244,3 +244,21 @@
     assert!(world.invites().is_empty());
     assert_eq!(world.answers["00000000000000d1"].len(), 1);
 }
+
+/// A node short of processor time finds a connection idle whose set-up it has not read yet.
+#[test]
+fn an_idle_connection_with_something_unread_is_not_closed() {
+    let mut world = World::new();
+    let (used, silent) = (world.caller(), world.caller());
+    world.bytes(used, &about(Method::Options, "00000000000000f1"));
+    world.unread = [used, silent].into();
+    world.pass(15 * SECOND);
+    assert!(!world.closed.contains(&used) && !world.closed.contains(&silent));
+    world.bytes(used, &invite(ID, "voice", LEGS));
+    let (_, conn, asked) = world.invited();
+    world.bytes(conn, &ok(&asked));
+    assert_eq!(world.answers[ID], [200]);
+    world.unread.clear();
+    world.pass(15 * SECOND);
+    assert!(world.closed.contains(&used) && world.closed.contains(&silent));
+}
--- a/crates/lemoncleat-access/tests/servers.rs
+++ b/crates/lemoncleat-access/tests/servers.rs
@@ -596,3 +596,41 @@
     world.pass(SECOND);
     assert_eq!(fresh(&world), before, "nothing stands there any more");
 }
+
+/// A thousand servers, a thousand nodes, 256 descriptors and 32 MB: the list is read whole, the budget of connections
+/// is kept, and a call goes to a server without one while an idle one can be closed for it.
+#[test]
+fn a_budget_that_is_used_up_fails_no_call_while_an_idle_connection_can_be_closed() {
+    const SERVERS: u32 = 1_024;
+    let at = |number: u32| format!("127.3.{}.{}:5070", number / 250, number % 250 + 1);
+    let all: Vec<_> = (0..SERVERS).map(|n| endpoint(&format!("s-{n:08x}"), &at(n), n, "up", 0)).collect();
+    let peers: Vec<_> = (0..1_024).map(|n| format!("\"127.9.{}.{}:7946\"", n / 250, n % 250 + 1)).collect();
+    let mut world = World::down(|text| {
+        let from = text.find("{\"name\":\"s-a\"").expect("the first server");
+        let to = text.find("]}}]},").expect("the end of the list");
+        let text = format!("{}{}{}", &text[..from], all.join(","), &text[to..]);
+        text.replace("\"127.0.9.1:7946\",\"127.0.9.2:7946\"", &peers.join(","))
+            .replace("\"memory_mb\":48", "\"memory_mb\":32")
+            .replace("\"balancers\":2", "\"balancers\":1024")
+            .replace("\"allowed_pools\":[[0,1],[0,1]],", "")
+    });
+    world.up = (0..SERVERS).map(|number| address(&at(number))).chain([journal()]).collect();
+    world.pass(MS);
+    assert!(matches!(world.tables(), Notice::Tables { servers: 1_024, server_conns: 80, .. }));
+    let caller = world.caller();
+    let mut met = std::collections::BTreeSet::new();
+    for number in 0..400 {
+        let id = format!("{number:016x}");
+        world.bytes(caller, &invite(&id, "voice", &format!("dest:{};width:1;via:-1", number * 2)));
+        let (server, conn, asked) = world.invited();
+        met.insert(server);
+        world.bytes(conn, &ok(&asked));
+        assert_eq!(world.answers[&id], [200]);
+        world.bytes(caller, &about(Method::Ack, &id));
+        world.pass(20 * MS);
+        assert!(world.conns.len() <= 81, "{} connections", world.conns.len());
+    }
+    assert!(met.len() > 300, "{} servers were asked", met.len());
+    // Notes of the last of a thousand nodes are known for what they are, and harm nothing.
+    world.input(Input::Datagram(address("127.9.4.24:7946"), b"note"));
+}
