Where a node knows little of a server it takes its wait to be what it meets elsewhere

Eleven of 24 servers, with 168 to 540 lines, hardly anybody's first choice ('dem0 d0' in the trace), got 140 to 250 attempts in the first 5 s, 4 to 5 times their share, answered 40 to 80, and next to none for 15 s more: 15 to 20% of what there is to serve with, lost. n0: 'server at place 12: pressed, about 4999 ms'. Cause: a server without own answers was taken to be idle (wait 0), so it beat every server whose wait was known; each node tried each of them, 294 tries together, and again after one lost set-up.

Changed: the wait of an open server is at least what this node's answers elsewhere met, as far as own answers there are few (PRIOR against those of late). The trace tells a call's first choice.

--- a/crates/lemoncleat-access/src/calls.rs
+++ b/crates/lemoncleat-access/src/calls.rs
@@ -112,7 +112,8 @@
             spent: Vec::new(),
         };
         self.trace(&call.id, || {
-            format!("set-up of class {} for {} ms", invite.class, invite.patience / 1000)
+            let (class, patience, place) = (invite.class, invite.patience / 1000, invite.destination);
+            format!("set-up of class {class} for {patience} ms, first choice place {place}")
         });
         self.calls.insert(id, call);
         self.tell(Event::Call(NewCall {
--- a/crates/lemoncleat/src/decide.rs
+++ b/crates/lemoncleat/src/decide.rs
@@ -324,6 +324,8 @@
     free: Option<f64>,
     base: f64,
     wait: f64,
+    /// Own set-ups answered of late.
+    known: f64,
     /// Chance that a set-up comes about there, and that it is not turned back by it as a tandem.
     stands: f64,
     passes: f64,
@@ -958,9 +960,14 @@
         listed && repeatable
     }
 
-    /// The servers that are open to calls at this moment.
+    /// The servers that are open to calls at this moment. Where this node knows little of one, it takes the
+    /// wait to be what it meets elsewhere: what hundreds of other nodes sent there it can't know.
     fn faces(&self) -> Vec<Face> {
-        self.servers.iter().filter_map(|(&id, server)| self.face(id, server)).collect()
+        let mut faces: Vec<_> = self.servers.iter().filter_map(|(&id, one)| self.face(id, one)).collect();
+        let known = faces.iter().map(|face| face.known).sum::<f64>().max(1.0);
+        let usual = faces.iter().map(|face| face.known * face.wait).sum::<f64>() / known;
+        faces.iter_mut().for_each(|face| face.wait = face.wait.max(usual * PRIOR / (face.known + PRIOR)));
+        faces
     }
 
     fn face(&self, id: ServerId, server: &Server) -> Option<Face> {
@@ -992,6 +999,7 @@
             free: server.free,
             base: server.base(),
             wait: if silent { server.drained(now) } else { server.expected(now) },
+            known: server.answered.all * server.answered.faded(now),
             stands,
             passes: 1.0 - server.turned.value(now),
         })
--- a/crates/lemoncleat/tests/module.rs
+++ b/crates/lemoncleat/tests/module.rs
@@ -569,6 +569,29 @@
     assert!(chosen[1..].iter().all(|&times| times >= 5), "all second choices are equal: {chosen:?}");
 }
 
+/// Each of three hundred nodes took a server it had never met for idle, and all of them tried it at once.
+#[test]
+fn a_server_of_which_little_is_known_is_taken_to_be_as_busy_as_the_others() {
+    let mut chosen = [0; 3];
+    for seed in 0..60 {
+        let mut node = Node { controller: Controller::new(settings(), seed).expect("usable"), now: 0 };
+        let members = (0..2).map(|number| member(number, Availability::Ready, None)).collect();
+        node.handle(Event::Members(MemberNews::Complete(members)));
+        for round in 0..6 {
+            for server in 0..2 {
+                // The way there takes 20 ms, the rest is wait.
+                let lag = if round == 0 { 20 * MS } else { 140 * MS };
+                node.served(10 * round + u64::from(server) + 1, 1, server, lag, 5 * MS);
+            }
+        }
+        node.change(2, Availability::Ready, None);
+        // Its own first choice is no server at all.
+        chosen[sent(&node.call(1_000, 0, 9)).expect("a send") as usize] += 1;
+    }
+    assert!(chosen[2] < 45, "not all at the one that they know nothing of: {chosen:?}");
+    assert!(chosen[2] > 0, "it is found all the same: {chosen:?}");
+}
+
 /// A node of a fleet of `balancers`, with one server that told its lines.
 fn one_of(balancers: u32, lines: f64) -> Node {
     let base = settings();
