A loop that is behind lets its readers have their turn before its timers, as it did

Cause: Net::next, changed for the stamps of what waited unread, gave a queued event without the readers' turn although the loop was behind, so that timers withdrew attempts whose answers lay in the socket; and the access node's loop ran timers before events that it had already read. Changed: both are as before; the stamps count only turns in which readers ran.

--- a/crates/lemoncleat-net/src/lib.rs
+++ b/crates/lemoncleat-net/src/lib.rs
@@ -718,12 +718,14 @@
         if let Some(event) = self.ready.pop_front() {
             return Some(event);
         }
-        if let Ok(raw) = self.events.try_recv() {
-            return self.event(raw);
+        let behind = until.is_some_and(|until| until <= Instant::now());
+        // Otherwise what waits is given at once, and the loop goes on without its readers.
+        let turn = behind || self.events.is_empty();
+        if turn {
+            self.at_work.set(self.woke.elapsed());
         }
-        self.at_work.set(self.woke.elapsed());
         let raw = match until {
-            Some(until) if until <= Instant::now() => {
+            _ if behind => {
                 // A loop that is behind must not keep its own readers from their turn.
                 future::yield_now().await;
                 self.events.try_recv().ok()
@@ -737,7 +739,9 @@
             }
             None => self.events.recv().await.ok(),
         };
-        self.woke = Instant::now();
+        if turn {
+            self.woke = Instant::now();
+        }
         self.event(raw?)
     }
 
--- a/crates/lemoncleat-service/src/access.rs
+++ b/crates/lemoncleat-service/src/access.rs
@@ -151,13 +151,7 @@
             let until = Instant::now() + BATCH_TIME;
             for _ in 0..BATCH {
                 match event.take() {
-                    Some(event) => {
-                        // What is overdue comes before what is new.
-                        if self.node.wake().is_some_and(|at| at <= self.clock()) {
-                            self.handle(Input::Timeout);
-                        }
-                        self.event(event);
-                    }
+                    Some(event) => self.event(event),
                     None => break,
                 }
                 if Instant::now() > until {
