Numbered fault points: one table, scenes under a virtual clock, a stage for real processes

Need: what many processes do when some fail can only be shown by making each step fail in turn. A list of its own in each test goes stale; a table that the tests take does not.

Change: `lemoncleat-faults` holds the one table (number, name, package, what is about to happen, which faults fit) and `point!` / `fails!`, which are nothing without its feature.

--- /dev/null
+++ b/crates/lemoncleat-faults/src/reached.rs
@@ -0,0 +1,29 @@
+//! What happens where a point is passed.
+
+use std::cell::Cell;
+
+use crate::{scene, stage, Fault, Point};
+
+thread_local! {
+    /// The point whose operation fails next on this thread.
+    static FAILING: Cell<Option<u16>> = const { Cell::new(None) };
+}
+
+/// Called by [`point!`](crate::point): carries out what a test has set for the point.
+pub fn reach(point: &'static Point) {
+    let fault = match scene::pass(point) {
+        scene::Pass::NoScene => stage::pass(point),
+        scene::Pass::Nothing => None,
+        scene::Pass::Do(fault) => Some(fault),
+    };
+    FAILING.set((fault == Some(Fault::Error)).then_some(point.number));
+}
+
+/// Called by [`fails!`](crate::fails): once true after the point was passed with [`Fault::Error`].
+pub fn failing(point: &'static Point) -> bool {
+    let failing = FAILING.get() == Some(point.number);
+    if failing {
+        FAILING.set(None);
+    }
+    failing
+}
