--- /dev/null
+++ b/crates/lemoncleat-agreement/tests/net/mod.rs
@@ -0,0 +1,621 @@
+//! Voters under a virtual clock, on a network that delays, loses, repeats, reorders and parts, with disks that
+//! forget what was not synced. The laws are checked at each step.
+#![allow(dead_code)]
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::path::PathBuf;
+
+use lemoncleat_agreement::{
+    Batch, Follower, Found, Input, Micros, Notice, Output, Settings, Store, StoreError, Timing, Voter,
+};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+pub const MILLI: Micros = 1_000;
+pub const SECOND: Micros = 1_000_000;
+/// The default timing's longest election time.
+pub const ELECTION: Micros = SECOND;
+
+/// A state machine: the commands that it was handed, with their indexes.
+pub type State = Vec<(u64, u64)>;
+
+pub enum Disk {
+    Memory(Found),
+    Real(PathBuf, Option<Store>),
+}
+
+pub struct Node {
+    pub id: u64,
+    pub voter: Option<Voter>,
+    pub disk: Disk,
+    pub life: u64,
+    /// The batch that the disk has and has not synced.
+    pub storing: Option<Batch>,
+    pub disk_full: bool,
+    /// The disk refused a batch and has not taken it since.
+    pub refused: bool,
+    pub paused_until: Micros,
+    pub state: Vec<(u64, u64)>,
+    pub notices: Vec<Notice>,
+    pub lost: u64,
+    pub start_error: Option<String>,
+}
+
+enum Event {
+    Deliver { from: u64, to: u64, bytes: Vec<u8> },
+    Synced { node: usize, life: u64 },
+    Snapshot { node: usize, life: u64, place: u64, bytes: Vec<u8> },
+    Restart { node: usize },
+    Heal { node: usize },
+}
+
+pub struct Net {
+    pub now: Micros,
+    pub nodes: Vec<Node>,
+    pub follower: Option<(u64, Follower, State)>,
+    /// What was decided, by anyone, in order: index and command.
+    pub decided: Vec<(u64, u64)>,
+    pub proposed: BTreeSet<u64>,
+    pub cut: BTreeSet<(u64, u64)>,
+    pub loss: f64,
+    pub repeat: f64,
+    pub delay: (Micros, Micros),
+    pub sync: Micros,
+    pub random: SmallRng,
+    pub broken: Option<String>,
+    pub messages: u64,
+    pub bytes: u64,
+    /// Fires of scene faults: what each led to.
+    pub met: Vec<String>,
+    /// Who was believed leader in which term, as a law: one at most.
+    pub leaders: BTreeMap<u64, u64>,
+    events: BTreeMap<(Micros, u64), Event>,
+    number: u64,
+    snapshot_every: u64,
+    voters: Vec<u64>,
+}
+
+impl Net {
+    pub fn new(voters: u64, seed: u64, snapshot_every: u64) -> Net {
+        Net::with_disks(
+            seed,
+            snapshot_every,
+            (1..=voters).map(|id| Disk::Memory(Found::new(1000 + id))).collect(),
+        )
+    }
+
+    pub fn with_disks(seed: u64, snapshot_every: u64, disks: Vec<Disk>) -> Net {
+        let voters: Vec<u64> = (1..=disks.len() as u64).collect();
+        let nodes = disks.into_iter().zip(&voters).map(|(disk, id)| Node {
+            id: *id,
+            voter: None,
+            disk,
+            life: 0,
+            storing: None,
+            disk_full: false,
+            refused: false,
+            paused_until: 0,
+            state: Vec::new(),
+            notices: Vec::new(),
+            lost: 0,
+            start_error: None,
+        });
+        let mut net = Net {
+            now: 0,
+            nodes: nodes.collect(),
+            follower: None,
+            decided: Vec::new(),
+            proposed: BTreeSet::new(),
+            cut: BTreeSet::new(),
+            loss: 0.0,
+            repeat: 0.0,
+            delay: (MILLI, 5 * MILLI),
+            sync: 2 * MILLI,
+            random: SmallRng::seed_from_u64(seed),
+            broken: None,
+            messages: 0,
+            bytes: 0,
+            met: Vec::new(),
+            leaders: BTreeMap::new(),
+            events: BTreeMap::new(),
+            number: 0,
+            snapshot_every,
+            voters,
+        };
+        for node in 0..net.nodes.len() {
+            net.start(node);
+        }
+        net
+    }
+
+    fn later(&mut self, after: Micros, event: Event) {
+        self.number += 1;
+        self.events.insert((self.now + after, self.number), event);
+    }
+
+    fn breaks(&mut self, why: String) {
+        self.broken.get_or_insert(format!("{} us: {why}", self.now));
+    }
+
+    /// Starts a voter with what its disk holds.
+    pub fn start(&mut self, index: usize) {
+        self.number += 1;
+        let seed = self.random.random::<u64>();
+        let settings = Settings {
+            own: self.voters[index],
+            voters: self.voters.clone(),
+            timing: Timing::default(),
+            max_command: 1024,
+            snapshot_every: self.snapshot_every,
+        };
+        turn(index);
+        let node = &mut self.nodes[index];
+        let opened = catch_unwind(AssertUnwindSafe(|| -> Result<Found, StoreError> {
+            match &mut node.disk {
+                Disk::Memory(found) => Ok(found.clone()),
+                Disk::Real(path, store) => {
+                    *store = None;
+                    let opened = Store::open(path, seed)?;
+                    let found = opened.read_all()?;
+                    *store = Some(opened);
+                    Ok(found)
+                }
+            }
+        }));
+        node.life += 1;
+        node.storing = None;
+        node.refused = false;
+        node.state.clear();
+        let started = opened.map(|found| {
+            found
+                .map_err(|error| error.to_string())
+                .and_then(|found| Voter::new(settings, found, seed).map_err(|refused| refused.to_string()))
+        });
+        match started {
+            Ok(Ok(voter)) => node.voter = Some(voter),
+            Ok(Err(error)) => {
+                // The operator tries again.
+                node.start_error = Some(error);
+                self.later(SECOND, Event::Restart { node: index });
+            }
+            Err(_) => self.later(SECOND, Event::Restart { node: index }),
+        }
+        self.fired(index);
+    }
+
+    /// Ends a process. What it had not synced is lost or there, as chance has it.
+    pub fn kill(&mut self, index: usize) {
+        let there = self.random.random_bool(0.5);
+        let node = &mut self.nodes[index];
+        node.voter = None;
+        node.life += 1;
+        if let (Some(batch), Disk::Memory(found), true) = (node.storing.take(), &mut node.disk, there) {
+            found.apply(&batch);
+        }
+        if let Disk::Real(_, store) = &mut node.disk {
+            *store = None;
+        }
+    }
+
+    pub fn kill_for(&mut self, index: usize, time: Micros) {
+        self.kill(index);
+        self.later(time, Event::Restart { node: index });
+    }
+
+    pub fn lose_disk(&mut self, index: usize) {
+        let identity = self.random.random();
+        self.nodes[index].disk = Disk::Memory(Found::new(identity));
+    }
+
+    /// The voter that leads by its own belief, with the highest term.
+    pub fn leader(&self) -> Option<usize> {
+        let leads = |node: &&Node| {
+            node.paused_until <= self.now
+                && node.voter.as_ref().is_some_and(|voter| voter.leader() == Some(node.id))
+        };
+        let term = |node: &&Node| node.voter.as_ref().map_or(0, |voter| voter.stats().term);
+        self.nodes.iter().filter(leads).max_by_key(term).map(|node| node.id as usize - 1)
+    }
+
+    pub fn cut_off(&mut self, index: usize, outwards: bool, inwards: bool) {
+        let id = self.voters[index];
+        for other in 1..=100 {
+            if outwards {
+                self.cut.insert((id, other));
+            }
+            if inwards {
+                self.cut.insert((other, id));
+            }
+        }
+    }
+
+    pub fn propose(&mut self, index: usize, command: u64) {
+        self.proposed.insert(command);
+        let command_bytes = command.to_le_bytes().to_vec();
+        self.input(index, Input::Propose { token: command, command: command_bytes });
+    }
+
+    /// Gives a voter an input and does what it says.
+    pub fn input(&mut self, index: usize, input: Input) {
+        let now = self.now;
+        let node = &mut self.nodes[index];
+        let Some(mut voter) = node.voter.take() else { return };
+        let life = node.life;
+        let mut out = Vec::new();
+        turn(index);
+        let handled = catch_unwind(AssertUnwindSafe(|| {
+            voter.handle(now, input, &mut out);
+            voter
+        }));
+        let killed = handled.is_err();
+        if let Ok(voter) = handled {
+            if voter.leader() == Some(voter_id(index)) {
+                let term = voter.stats().term;
+                let known = *self.leaders.entry(term).or_insert(voter_id(index));
+                if known != voter_id(index) {
+                    self.breaks(format!("two leaders of term {term}"));
+                }
+            }
+            self.nodes[index].voter = Some(voter);
+        }
+        for output in out {
+            // What was given out before a kill was on its way.
+            if killed && !matches!(output, Output::Tell { .. } | Output::Decided { .. }) {
+                continue;
+            }
+            if self.nodes[index].life == life {
+                self.output(index, output);
+            }
+        }
+        self.fired(index);
+    }
+
+    fn output(&mut self, index: usize, output: Output) {
+        let id = self.voters[index];
+        match output {
+            Output::Tell { to, bytes } => {
+                if self.nodes[index].storing.is_some() || self.nodes[index].refused {
+                    self.breaks(format!("{id} says something before its batch is stored"));
+                }
+                self.send(id, to, bytes);
+            }
+            Output::Store(batch) => self.store(index, batch),
+            Output::Decided { index: place, command } => {
+                if self.nodes[index].storing.is_some() || self.nodes[index].refused {
+                    self.breaks(format!("{id} hands out {place} before its batch is stored"));
+                }
+                let command = <[u8; 8]>::try_from(command).map(u64::from_le_bytes).unwrap_or(u64::MAX);
+                let mut state = std::mem::take(&mut self.nodes[index].state);
+                self.applied(&mut state, id, place, command);
+                self.nodes[index].state = state;
+            }
+            Output::Restore { index: place, bytes } => {
+                self.nodes[index].state = self.restored(id, place, &bytes);
+            }
+            Output::TakeSnapshot { index: place } => {
+                let bytes = snapshot(&self.nodes[index].state);
+                let life = self.nodes[index].life;
+                self.later(0, Event::Snapshot { node: index, life, place, bytes });
+            }
+            Output::Lost { .. } => self.nodes[index].lost += 1,
+            Output::Notice(notice) => self.nodes[index].notices.push(notice),
+            Output::Leader(_) => {}
+        }
+    }
+
+    fn applied(&mut self, state: &mut Vec<(u64, u64)>, id: u64, place: u64, command: u64) {
+        if state.last().is_some_and(|(last, _)| *last >= place) {
+            self.breaks(format!("{id} is handed {place} after {:?}", state.last()));
+        }
+        if !self.proposed.contains(&command) {
+            self.breaks(format!("{id} is handed {command} at {place}, which nobody proposed"));
+        }
+        match self.decided.get(state.len()).copied() {
+            None => self.decided.push((place, command)),
+            Some(known) if known == (place, command) => {}
+            Some(known) => self.breaks(format!("{id} is handed {command} at {place}, others {known:?}")),
+        }
+        state.push((place, command));
+    }
+
+    fn restored(&mut self, id: u64, place: u64, bytes: &[u8]) -> Vec<(u64, u64)> {
+        let number = |bytes: &[u8]| bytes.try_into().map(u64::from_le_bytes).unwrap_or(u64::MAX);
+        let state: Vec<(u64, u64)> =
+            bytes.chunks(16).map(|pair| (number(&pair[..8]), number(&pair[8..]))).collect();
+        if !self.decided.starts_with(&state) || state.last().is_some_and(|(last, _)| *last > place) {
+            self.breaks(format!("{id} is to restore what was not decided"));
+        }
+        state
+    }
+
+    fn send(&mut self, from: u64, to: u64, bytes: Vec<u8>) {
+        self.messages += 1;
+        self.bytes += bytes.len() as u64;
+        if self.cut.contains(&(from, to)) || self.random.random_bool(self.loss) {
+            return;
+        }
+        let copies = if self.random.random_bool(self.repeat) { 2 } else { 1 };
+        for _ in 0..copies {
+            let after = self.random.random_range(self.delay.0..=self.delay.1);
+            self.later(after, Event::Deliver { from, to, bytes: bytes.clone() });
+        }
+    }
+
+    fn store(&mut self, index: usize, batch: Batch) {
+        let life = self.nodes[index].life;
+        self.nodes[index].storing = Some(batch);
+        self.later(self.sync, Event::Synced { node: index, life });
+    }
+
+    fn synced(&mut self, index: usize) {
+        let node = &mut self.nodes[index];
+        let Some(batch) = node.storing.take() else { return };
+        let number = batch.number;
+        if node.disk_full {
+            node.refused = true;
+            return self.input(index, Input::StoreFailed(number, "no space left".to_owned()));
+        }
+        turn(index);
+        let result = catch_unwind(AssertUnwindSafe(|| match &mut node.disk {
+            Disk::Memory(found) => {
+                found.apply(&batch);
+                Ok(())
+            }
+            Disk::Real(_, Some(store)) => store.apply(&batch),
+            Disk::Real(path, None) => Err(StoreError::Failed(path.clone(), "closed".to_owned())),
+        }));
+        node.refused = !matches!(result, Ok(Ok(())));
+        match result {
+            Ok(Ok(())) => self.input(index, Input::Stored(number)),
+            Ok(Err(error)) => self.input(index, Input::StoreFailed(number, error.to_string())),
+            Err(_) => {}
+        }
+        self.fired(index);
+    }
+
+    /// Carries out a fault that a point met.
+    #[cfg(feature = "faults")]
+    fn fired(&mut self, _: usize) {
+        use lemoncleat_faults::{scene, Fault};
+        let Some((fault, Some(index))) = scene::fired() else { return };
+        let led = self.leader() == Some(index);
+        self.met.push(format!("{} of {}{}", fault.name(), index + 1, if led { ", the leader" } else { "" }));
+        match fault {
+            Fault::Kill => self.kill_for(index, 2 * ELECTION),
+            Fault::Error => {}
+            Fault::Pause => self.nodes[index].paused_until = self.now + 4 * ELECTION,
+            Fault::Cut => self.cut_off(index, true, true),
+            Fault::CutOut => self.cut_off(index, true, false),
+            Fault::CutIn => self.cut_off(index, false, true),
+        }
+        if matches!(fault, Fault::Cut | Fault::CutOut | Fault::CutIn) {
+            self.later(4 * ELECTION, Event::Heal { node: index });
+        }
+    }
+
+    #[cfg(not(feature = "faults"))]
+    fn fired(&mut self, _: usize) {}
+
+    /// Plays until a moment.
+    pub fn run_until(&mut self, end: Micros) {
+        self.play(end, |_| false);
+    }
+
+    pub fn run(&mut self, time: Micros) {
+        self.run_until(self.now + time);
+    }
+
+    /// Plays until something holds, at most for `time`; whether it came to hold.
+    pub fn run_till(&mut self, time: Micros, holds: impl Fn(&Net) -> bool) -> bool {
+        self.play(self.now + time, &holds);
+        holds(self)
+    }
+
+    fn play(&mut self, end: Micros, holds: impl Fn(&Net) -> bool) {
+        while !holds(self) {
+            let event = self.events.first_key_value().map_or(Micros::MAX, |((at, _), _)| *at);
+            let wakes = self.nodes.iter().enumerate().filter_map(|(index, node)| {
+                let wake = node.voter.as_ref()?.wake()?;
+                Some((wake.max(node.paused_until), index))
+            });
+            let wake = wakes.min();
+            let follower =
+                self.follower.as_ref().and_then(|(_, follower, _)| follower.wake()).unwrap_or(Micros::MAX);
+            let next = event.min(wake.map_or(Micros::MAX, |(at, _)| at)).min(follower);
+            if next > end {
+                self.now = end;
+                return;
+            }
+            self.now = self.now.max(next);
+            if event <= next {
+                if let Some((_, event)) = self.events.pop_first() {
+                    self.happen(event);
+                }
+            } else if let Some((_, index)) = wake.filter(|(at, _)| *at <= next) {
+                self.input(index, Input::Timeout);
+            } else {
+                self.follow(Input::Timeout);
+            }
+            if self.broken.is_some() {
+                return;
+            }
+        }
+    }
+
+    fn happen(&mut self, event: Event) {
+        match event {
+            Event::Deliver { from, to, bytes } => {
+                if self.follower.as_ref().is_some_and(|(id, ..)| *id == to) {
+                    return self.follow(Input::Heard { from, bytes: &bytes });
+                }
+                let index = (to as usize).wrapping_sub(1);
+                if index >= self.nodes.len() {
+                    return;
+                }
+                let until = self.nodes[index].paused_until;
+                if until > self.now {
+                    // It lies in the socket until then.
+                    self.later(until - self.now, Event::Deliver { from, to, bytes });
+                } else {
+                    self.input(index, Input::Heard { from, bytes: &bytes });
+                }
+            }
+            Event::Synced { node, life } if self.nodes[node].life == life => {
+                let until = self.nodes[node].paused_until;
+                if until > self.now {
+                    self.later(until - self.now, Event::Synced { node, life });
+                } else {
+                    self.synced(node);
+                }
+            }
+            Event::Snapshot { node, life, place, bytes } if self.nodes[node].life == life => {
+                self.input(node, Input::Snapshot { index: place, bytes });
+            }
+            Event::Synced { .. } | Event::Snapshot { .. } => {}
+            Event::Restart { node } if self.nodes[node].voter.is_none() => self.start(node),
+            Event::Restart { .. } => {}
+            Event::Heal { node } => {
+                let id = self.voters[node];
+                self.cut.retain(|(from, to)| *from != id && *to != id);
+            }
+        }
+    }
+
+    fn follow(&mut self, input: Input) {
+        let Some((id, mut follower, mut state)) = self.follower.take() else { return };
+        let mut out = Vec::new();
+        follower.handle(self.now, input, &mut out);
+        for output in out {
+            match output {
+                Output::Tell { to, bytes } => self.send(id, to, bytes),
+                Output::Decided { index, command } => {
+                    let command = <[u8; 8]>::try_from(command).map(u64::from_le_bytes).unwrap_or(u64::MAX);
+                    self.applied(&mut state, id, index, command);
+                }
+                Output::Restore { index, bytes } => state = self.restored(id, index, &bytes),
+                _ => {}
+            }
+        }
+        self.follower = Some((id, follower, state));
+    }
+
+    /// All is whole again: whether all voters that may come to one leader and one log, and decide something new,
+    /// within ten election times.
+    pub fn recovers(&mut self) -> bool {
+        self.cut.clear();
+        (self.loss, self.repeat) = (0.0, 0.0);
+        for index in 0..self.nodes.len() {
+            self.nodes[index].disk_full = false;
+            self.nodes[index].paused_until = 0;
+            if self.nodes[index].voter.is_none() {
+                self.start(index);
+            }
+        }
+        let command = 1 << 40 | self.now as u64;
+        // A store that failed long is tried again after a pause of up to 32 s.
+        for _ in 0..20 {
+            if !self.run_till(3 * ELECTION, |net| net.leader().is_some()) {
+                continue;
+            }
+            if let Some(leader) = self.leader() {
+                self.propose(leader, command);
+            }
+            let all = |net: &Net| {
+                net.nodes.iter().all(|node| node.state.last().is_some_and(|(_, last)| *last == command))
+            };
+            if self.run_till(ELECTION, all) {
+                return true;
+            }
+        }
+        false
+    }
+
+    pub fn law(&self) {
+        assert_eq!(self.broken, None);
+    }
+}
+
+fn voter_id(index: usize) -> u64 {
+    index as u64 + 1
+}
+
+fn snapshot(state: &[(u64, u64)]) -> Vec<u8> {
+    state.iter().flat_map(|(index, command)| [index.to_le_bytes(), command.to_le_bytes()]).flatten().collect()
+}
+
+#[cfg(feature = "faults")]
+fn turn(index: usize) {
+    lemoncleat_faults::scene::turn(index);
+}
+
+#[cfg(not(feature = "faults"))]
+fn turn(_: usize) {}
+
+/// A wild time: kills, cuts of all kinds, lost and repeated messages, full disks, pauses. Returns the net at its
+/// end, before it recovers.
+pub fn wild(voters: u64, seed: u64, time: Micros) -> Net {
+    let mut net = Net::new(voters, seed, 16 + seed % 32);
+    net.run_till(3 * ELECTION, |net| net.leader().is_some());
+    let mut random = SmallRng::seed_from_u64(seed ^ 0x5eed);
+    let end = net.now + time;
+    let mut command = 0;
+    while net.now < end && net.broken.is_none() {
+        net.run(random.random_range(1..60) * MILLI);
+        let index = random.random_range(0..net.nodes.len());
+        let other = random.random_range(0..net.nodes.len());
+        match random.random_range(0..100) {
+            0..60 => {
+                let at = if random.random_bool(0.7) { net.leader().unwrap_or(index) } else { index };
+                for _ in 0..random.random_range(1..4) {
+                    command += 1;
+                    net.propose(at, command);
+                }
+            }
+            60..66 => net.kill_for(index, random.random_range(1..3000) * MILLI),
+            66..69 => {
+                if let Some(leader) = net.leader() {
+                    net.kill_for(leader, random.random_range(1..3000) * MILLI);
+                }
+            }
+            69..76 => {
+                net.cut.insert((index as u64 + 1, other as u64 + 1));
+            }
+            76..79 => net.cut_off(index, random.random_bool(0.7), random.random_bool(0.7)),
+            79..87 => net.cut.clear(),
+            87..90 => (net.loss, net.repeat) = (random.random_range(0.0..0.3), random.random_range(0.0..0.3)),
+            90..92 => net.delay.1 = random.random_range(2..150) * MILLI,
+            92..94 => net.sync = random.random_range(1..100) * MILLI,
+            94..95 => net.nodes[index].disk_full = true,
+            95..98 => net.nodes.iter_mut().for_each(|node| node.disk_full = false),
+            _ => net.nodes[index].paused_until = net.now + random.random_range(1..3000) * MILLI,
+        }
+    }
+    net
+}
+
+/// Elections without end on a slow network, and voters that die between two candidates' requests.
+pub fn restless(seed: u64, time: Micros) -> Net {
+    let mut net = Net::new(3, seed, 32);
+    net.run_till(3 * ELECTION, |net| net.leader().is_some());
+    let end = net.now + time;
+    let mut random = SmallRng::seed_from_u64(seed);
+    net.delay = (MILLI, 400 * MILLI);
+    net.repeat = 0.3;
+    while net.now < end && net.broken.is_none() {
+        net.run(random.random_range(1..100) * MILLI);
+        let index = random.random_range(0..3);
+        match random.random_range(0..3) {
+            0 => net.kill_for(index, MILLI),
+            1 if random.random_bool(0.2) => net.paused(index, random.random_range(1..1500) * MILLI),
+            _ => net.propose(index, net.now as u64),
+        }
+    }
+    net
+}
+
+impl Net {
+    fn paused(&mut self, index: usize, time: Micros) {
+        self.nodes[index].paused_until = self.now + time;
+    }
+}
