The stage: real processes in three zones, every link through a relay that can be disturbed

Need: how many processes behave together can only be shown with many processes and faults between them.

Change: `lemoncleat_lab::stage`: links between named ends (delayed, held, cut one way or both, lost or late, reset, refused, partitioned), processes started from a binary, killed, paused, restarted with or without their disk, numbered points in the stage's hands, a fleet of up to 64, a client of the control port. Waits are for events with one long limit.

A copy of the relay broken on purpose was not tried.

--- a/crates/lemoncleat-lab/src/lib.rs
+++ b/crates/lemoncleat-lab/src/lib.rs
@@ -5,6 +5,7 @@
 //!   operators' bench can be read with [`bench_day`].
 //! - [`rehearse`] plays a day against access nodes and returns the [`Capture`] of its frames.
 //! - [`judge`] works the five rules and the service out of a capture, sharing no state machine with the node.
+//! - [`stage`] starts real processes and disturbs their links.
 //! - [`load`] offers calls at a steady rate and measures set-up times.
 
 mod bench_day;
@@ -25,6 +26,7 @@
 mod report;
 mod script;
 mod server;
+pub mod stage;
 mod wire;
 mod world;
 
