--- /dev/null
+++ b/crates/lemoncleat-commons/src/lib.rs
@@ -0,0 +1,15 @@
+//! A node's part in its fleet, without I/O: who is there, what each tells of itself, and what all agree on.
+//!
+//! A [`Part`] joins the cores of `lemoncleat-fleet` and `lemoncleat-agreement` to one carrier of words between
+//! members, and says what a driver is to do. Nothing in it touches a call; a node without a fleet has none of it.
+
+mod part;
+mod pieces;
+mod seat;
+mod state;
+
+pub use part::{Figures, Part, Said, Settings};
+pub use seat::Seat;
+
+/// A span or a moment in microseconds.
+pub type Micros = i64;
--- /dev/null
+++ b/crates/lemoncleat-commons/src/part.rs
@@ -0,0 +1,330 @@
+//! The cores joined to one carrier.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use lemoncleat_agreement::Batch;
+use lemoncleat_fleet::{Carrier, Fleet, Input, Kind, Member, MemberId, Notice, Output, State, Timing};
+use serde::{Deserialize, Serialize};
+use serde_json::{json, Value};
+
+use crate::pieces::Pieces;
+use crate::seat::{Agreed, Ask, Seat};
+use crate::Micros;
+
+/// The longest message between nodes: as long as the node's core carries.
+const LONGEST: usize = 32 * 1024;
+/// What a node tells of its calls, and how often at the most.
+const FIGURES: Kind = Kind(1);
+const FIGURES_EVERY: Micros = 5_000_000;
+const FIGURES_LIFE: Micros = 20_000_000;
+/// The shortest tick of the agreement: a store has to be written within a few.
+const LEAST_TICK: Micros = 10_000;
+
+/// What a node tells all others of its calls.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Figures {
+    /// Calls standing now.
+    pub standing: u64,
+    /// Calls being set up now.
+    pub setting_up: u64,
+    /// Calls accepted since the start.
+    pub calls: u64,
+}
+
+/// What a part has to know.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The node's own name, one of the members.
+    pub own: Arc<str>,
+    /// All members. The carrier knows them by their place here.
+    pub members: Vec<Member>,
+    /// The members that agree for all: none, three or five.
+    pub voters: Vec<Arc<str>>,
+    /// The length of a round of the fleet, in microseconds; all its patience follows from it.
+    pub round: Micros,
+}
+
+/// The members' names.
+pub(crate) type Names = Arc<BTreeMap<MemberId, Arc<str>>>;
+
+pub(crate) fn name(names: &Names, id: MemberId) -> String {
+    names.get(&id).map_or_else(|| id.to_string(), |name| name.to_string())
+}
+
+/// What a part asks of its driver, in this order. Members by their place in the settings.
+#[derive(Debug)]
+pub enum Said {
+    /// Connect to this member, and again whenever the connection is lost.
+    Meet(usize),
+    /// Do so no more, and end the connection if this node made it.
+    Part(usize),
+    /// Say this to this member, or drop it.
+    Word(usize, Vec<u8>),
+    /// Store this, and tell [`Part::stored`].
+    Store(Batch),
+    /// Answer the operator on this connection.
+    Answer(u64, Value),
+    /// For the log: whether it is bad news, and what.
+    Log(bool, String),
+}
+
+/// A node's part in its fleet.
+pub struct Part {
+    fleet: Fleet,
+    ids: Vec<MemberId>,
+    places: BTreeMap<MemberId, usize>,
+    names: Names,
+    pieces: Pieces,
+    agreed: Option<Agreed>,
+    /// The figures told last, and when they are told again though they are the same.
+    told: Option<(Figures, Micros)>,
+    tell_at: Micros,
+    outputs: Vec<Output>,
+    asks: Vec<Ask>,
+}
+
+impl Part {
+    /// The part of a node. `start` grows with each start, as Origin-State-Id does (RFC 6733 section 8.16); its random
+    /// choices come from the seed.
+    ///
+    /// # Errors
+    ///
+    /// When the members can't be told apart, the node is none of them, or a span is nothing.
+    pub fn new(
+        settings: &Settings,
+        seat: Seat,
+        start: u32,
+        seed: u64,
+    ) -> Result<Part, lemoncleat_fleet::SettingsError> {
+        let mut core =
+            lemoncleat_fleet::Settings::new(&settings.own, settings.members.clone(), Carrier::Connections);
+        core.max_message = LONGEST;
+        core.timing = timing(settings.round);
+        let fleet = Fleet::new(core, start, seed)?;
+        let ids: Vec<MemberId> = settings.members.iter().map(|member| MemberId::of(&member.name)).collect();
+        let voters: Vec<MemberId> = settings.voters.iter().map(|name| MemberId::of(name)).collect();
+        let tick = (settings.round / 4).max(LEAST_TICK);
+        let known = settings.members.iter().map(|member| member.name.clone());
+        let names: Names = Arc::new(ids.iter().copied().zip(known).collect());
+        let agreed =
+            (!voters.is_empty()).then(|| Agreed::new(names.clone(), fleet.own(), voters, seat, tick, seed));
+        let mut asks = Vec::new();
+        if let Some(why) = agreed.as_ref().and_then(Agreed::broken) {
+            asks.push(Ask::Log(true, format!("this voter does not vote, its store can't be used: {why}")));
+        }
+        Ok(Part {
+            fleet,
+            places: ids.iter().copied().enumerate().map(|(place, id)| (id, place)).collect(),
+            names,
+            ids,
+            pieces: Pieces::default(),
+            agreed,
+            told: None,
+            tell_at: 0,
+            outputs: Vec::new(),
+            asks,
+        })
+    }
+
+    /// When it wants a turn at the latest.
+    pub fn wake(&self) -> Option<Micros> {
+        let agreed = self.agreed.as_ref().and_then(Agreed::wake);
+        self.fleet.wake().into_iter().chain(agreed).chain([self.tell_at]).min()
+    }
+
+    /// Time has passed, and this is what the node has done so far.
+    pub fn timeout(&mut self, now: Micros, figures: Figures, said: &mut Vec<Said>) {
+        if self.tell_at <= now {
+            self.tell_at = now + FIGURES_EVERY;
+            let told = self.told.filter(|(told, until)| *told == figures && now < *until);
+            if let (Ok(bytes), None) = (postcard::to_allocvec(&figures), told) {
+                self.fleet.handle(now, Input::Publish { kind: FIGURES, bytes }, &mut self.outputs);
+                self.told = Some((figures, now + FIGURES_LIFE));
+            }
+        }
+        if self.fleet.wake().is_none_or(|wake| wake <= now) {
+            self.fleet.handle(now, Input::Timeout, &mut self.outputs);
+        }
+        if let Some(agreed) = &mut self.agreed {
+            agreed.timeout(now, &mut self.asks);
+        }
+        self.settle(now, said);
+    }
+
+    /// A connection with a member stands, or stands no more.
+    pub fn linked(&mut self, now: Micros, place: usize, linked: bool, said: &mut Vec<Said>) {
+        let Some(id) = self.ids.get(place).copied() else { return };
+        if !linked {
+            self.pieces.forget(id);
+        }
+        let input = if linked { Input::Linked(id) } else { Input::Unlinked(id) };
+        self.fleet.handle(now, input, &mut self.outputs);
+        self.settle(now, said);
+    }
+
+    /// A member said something.
+    pub fn heard(&mut self, now: Micros, place: usize, bytes: &[u8], said: &mut Vec<Said>) {
+        let Some(from) = self.ids.get(place).copied() else { return };
+        self.fleet.handle(now, Input::Heard { from, bytes }, &mut self.outputs);
+        self.settle(now, said);
+    }
+
+    /// A batch is stored, or could not be, and why.
+    pub fn stored(&mut self, now: Micros, batch: u64, result: Result<(), String>, said: &mut Vec<Said>) {
+        if let Some(agreed) = &mut self.agreed {
+            agreed.stored(now, batch, result, &mut self.asks);
+        }
+        self.settle(now, said);
+    }
+
+    fn settle(&mut self, now: Micros, said: &mut Vec<Said>) {
+        while !self.outputs.is_empty() || !self.asks.is_empty() {
+            for output in std::mem::take(&mut self.outputs) {
+                self.output(now, output, said);
+            }
+            for ask in std::mem::take(&mut self.asks) {
+                self.ask(now, ask, said);
+            }
+        }
+    }
+
+    fn output(&mut self, now: Micros, output: Output, said: &mut Vec<Said>) {
+        let place = |id: MemberId| self.places.get(&id).copied();
+        match output {
+            Output::Tell { to, bytes } => said.extend(place(to).map(|place| Said::Word(place, bytes))),
+            Output::Meet(id) => said.extend(place(id).map(Said::Meet)),
+            Output::Part(id) => said.extend(place(id).map(Said::Part)),
+            Output::Direct { from, bytes } => {
+                if let (Some(errand), Some(agreed)) = (self.pieces.join(from, &bytes), &mut self.agreed) {
+                    agreed.errand(now, from, errand, &mut self.asks);
+                }
+            }
+            Output::State { member, state, .. } => {
+                let (alive, of, member) = (self.fleet.alive(), self.ids.len(), self.name(member));
+                said.push(match state {
+                    State::Alive => Said::Log(false, format!("{member} is there, {alive} of {of} are")),
+                    State::Suspect => Said::Log(false, format!("{member} is suspected")),
+                    State::Gone => Said::Log(true, format!("{member} is gone, {alive} of {of} are there")),
+                });
+            }
+            Output::Notice(notice) => said.push(self.told(notice)),
+            // Read when they are needed.
+            Output::Fact(_) => {}
+        }
+    }
+
+    fn ask(&mut self, now: Micros, ask: Ask, said: &mut Vec<Said>) {
+        match ask {
+            Ask::Say(to, errand) => {
+                let words = self.pieces.split(&errand);
+                if words.is_empty() {
+                    said.push(Said::Log(true, format!("a word for {} is too long", self.name(to))));
+                }
+                for bytes in words {
+                    self.fleet.handle(now, Input::Direct { to, bytes }, &mut self.outputs);
+                }
+            }
+            Ask::Answer(conn, answer) => said.push(Said::Answer(conn, answer)),
+            Ask::Store(batch) => said.push(Said::Store(batch)),
+            Ask::Log(bad, text) => said.push(Said::Log(bad, text)),
+        }
+    }
+
+    fn told(&self, notice: Notice) -> Said {
+        let text = match notice {
+            Notice::Stranger(id) => format!("a word of a process that is no member: {id}"),
+            Notice::Impostor(id) => format!("{} says words in another's name", self.name(id)),
+            Notice::Unreadable(id) => format!("a word of {} can't be read", self.name(id)),
+            Notice::Jumped => "the fleet remembers a later start of this node: clock set back?".to_owned(),
+            Notice::Paused(span) => format!("no turn for {:.1} s", span as f64 / 1e6),
+            Notice::DirectDropped(id) => format!("words for {} were dropped", self.name(id)),
+            Notice::FactDropped(id) => format!("facts of {} beyond the limits", self.name(id)),
+        };
+        Said::Log(!matches!(notice, Notice::DirectDropped(_)), text)
+    }
+
+    fn name(&self, id: MemberId) -> String {
+        name(&self.names, id)
+    }
+
+    // ---- The operators ----
+
+    /// Who is there.
+    pub fn members(&self, now: Micros) -> Value {
+        let figures: BTreeMap<MemberId, (Micros, Figures)> = self
+            .fleet
+            .facts(now, FIGURES)
+            .filter_map(|fact| Some((fact.origin, (fact.age, postcard::from_bytes(&fact.bytes).ok()?))))
+            .collect();
+        let members: Vec<Value> = self
+            .fleet
+            .members()
+            .map(|(id, member, state, incarnation)| {
+                let state = match state {
+                    State::Alive => "alive",
+                    State::Suspect => "suspect",
+                    State::Gone => "gone",
+                };
+                let start = lemoncleat_fleet::start_of(incarnation);
+                let mut told =
+                    json!({"host": &*member.name, "zone": &*member.zone, "state": state, "start": start});
+                if let Some((age, figures)) = figures.get(&id) {
+                    told["age_ms"] = (age / 1_000).into();
+                    told["standing"] = figures.standing.into();
+                    told["setting_up"] = figures.setting_up.into();
+                    told["calls"] = figures.calls.into();
+                }
+                told
+            })
+            .collect();
+        let stats = self.fleet.stats();
+        json!({
+            "ok": true, "alive": self.fleet.alive(), "of": self.ids.len(), "members": members,
+            "told": stats.told, "told_bytes": stats.told_bytes, "heard": stats.heard,
+            "not_heard": stats.strangers + stats.impostors + stats.unreadable + stats.stale,
+            "suspicions": stats.suspicions, "refuted": stats.refuted,
+        })
+    }
+
+    /// How the agreement stands.
+    pub fn agreement(&self) -> Option<Value> {
+        Some(self.agreed.as_ref()?.status())
+    }
+
+    /// The marks after an entry.
+    pub fn marks(&self, after: u64) -> Option<Value> {
+        Some(self.agreed.as_ref()?.marks(after))
+    }
+
+    /// An operator's mark; answered when it is agreed. False where nothing is ever agreed.
+    pub fn mark(&mut self, now: Micros, conn: u64, order: &str, text: &str, said: &mut Vec<Said>) -> bool {
+        let Some(agreed) = &mut self.agreed else { return false };
+        agreed.mark(now, conn, order, text, &mut self.asks);
+        self.settle(now, said);
+        true
+    }
+
+    /// The operator's connection is gone.
+    pub fn operator_left(&mut self, conn: u64) {
+        if let Some(agreed) = &mut self.agreed {
+            agreed.operator_left(conn);
+        }
+    }
+}
+
+/// The fleet's patience, from the length of its rounds.
+fn timing(round: Micros) -> Timing {
+    let usual = Timing::default();
+    let scaled = |span: Micros| (span.saturating_mul(round) / usual.round).max(1_000);
+    Timing {
+        round,
+        answer: scaled(usual.answer),
+        suspect: scaled(usual.suspect),
+        gossip: scaled(usual.gossip),
+        sync: scaled(usual.sync),
+        retry: scaled(usual.retry),
+        meet: scaled(usual.meet).max(1_000_000),
+        ..usual
+    }
+}
--- a/crates/lemoncleat-diameter/src/check.rs
+++ b/crates/lemoncleat-diameter/src/check.rs
@@ -75,6 +75,7 @@
             RE_AUTH_REQUEST_TYPE,
         ],
         CMD_CIRCUITS => &[ORIGIN_HOST, ORIGIN_REALM, CIRCUIT_OPERATION, CIRCUIT_ID, CIRCUIT_COUNT],
+        CMD_FLEET => &[ORIGIN_HOST, ORIGIN_REALM, FLEET_WORD],
         _ => return None,
     })
 }
@@ -89,12 +90,26 @@
     dictionary::SETUP_PATIENCE,
 ];
 
-/// Looks a request over before it is acted on: header bits, command, application, AVPs.
+/// Looks a request over before it is acted on: header bits, command, application, AVPs. Fleet-Word is no known
+/// command here: only members of a fleet may say it, see [`check_member_request`].
 ///
 /// # Errors
 ///
 /// The first fault, in the order in which the sections of RFC 6733 treat them.
 pub fn check_request(message: &MessageRef<'_>) -> Result<(), Fault> {
+    check(message, false)
+}
+
+/// As [`check_request`], for a request of a member of this node's fleet, which may be a Fleet-Word.
+///
+/// # Errors
+///
+/// As [`check_request`].
+pub fn check_member_request(message: &MessageRef<'_>) -> Result<(), Fault> {
+    check(message, true)
+}
+
+fn check(message: &MessageRef<'_>, member: bool) -> Result<(), Fault> {
     let head = &message.header;
     if head.version != 1 {
         return Err(Fault::plain(code::UNSUPPORTED_VERSION, format!("version {}, expected 1", head.version)));
@@ -105,7 +120,8 @@
     if head.flags & COMMAND_ERROR != 0 {
         return Err(Fault::plain(code::INVALID_HDR_BITS, "a request with the E bit"));
     }
-    let Some(required) = required(head.command) else {
+    let known = member || head.command != dictionary::CMD_FLEET;
+    let Some(required) = required(head.command).filter(|_| known) else {
         return Err(Fault::plain(
             code::COMMAND_UNSUPPORTED,
             format!("command {} is not known", head.command),
--- a/crates/lemoncleat-diameter/src/dictionary.rs
+++ b/crates/lemoncleat-diameter/src/dictionary.rs
@@ -32,6 +32,9 @@
 
 /// Circuit-Supervision, the project's own: of the codes that RFC 6733 section 11.2.1 sets aside for experiments.
 pub const CMD_CIRCUITS: u32 = 0x00ff_fffe;
+/// Fleet-Word, the project's own: the other code of RFC 6733 section 11.2.1. Nodes of one fleet say it to one
+/// another, and nobody else does.
+pub const CMD_FLEET: u32 = 0x00ff_ffff;
 
 /// The name of a command, without Request or Answer.
 pub fn command_name(command: u32) -> Option<&'static str> {
@@ -44,6 +47,7 @@
         CMD_WATCHDOG => "Device-Watchdog",
         CMD_DISCONNECT => "Disconnect-Peer",
         CMD_CIRCUITS => "Circuit-Supervision",
+        CMD_FLEET => "Fleet-Word",
         _ => return None,
     })
 }
@@ -67,6 +71,8 @@
         (CMD_DISCONNECT, false) => "DPA",
         (CMD_CIRCUITS, true) => "CSR",
         (CMD_CIRCUITS, false) => "CSA",
+        (CMD_FLEET, true) => "FWR",
+        (CMD_FLEET, false) => "FWA",
         (_, true) => "request",
         (_, false) => "answer",
     }
@@ -239,6 +245,7 @@
     CIRCUIT_BLOCK 14 Some(VENDOR), o, Enumerated, "Circuit-Block";
     CIRCUIT_STATES 15 Some(VENDOR), o, OctetString, "Circuit-States";
     CIRCUIT_CONTROL 16 Some(VENDOR), o, Enumerated, "Circuit-Control";
+    FLEET_WORD 17 Some(VENDOR), o, OctetString, "Fleet-Word";
 }
 
 /// Setup-Reason: no circuit or line was free.
--- a/crates/lemoncleat-diameter/src/lib.rs
+++ b/crates/lemoncleat-diameter/src/lib.rs
@@ -23,7 +23,7 @@
 mod watchdog;
 
 pub use avp::{AvpError, AvpRef, Avps, GroupBuilder, FLAG_MANDATORY, FLAG_PROTECTED, FLAG_VENDOR};
-pub use check::{check_request, refusal, Fault};
+pub use check::{check_member_request, check_request, refusal, Fault};
 pub use frame::{FrameError, FrameReader};
 pub use message::{
     Header, HeaderError, MessageBuilder, MessageRef, COMMAND_ERROR, COMMAND_PROXIABLE, COMMAND_REQUEST,
--- a/crates/lemoncleat-diameter/src/peer.rs
+++ b/crates/lemoncleat-diameter/src/peer.rs
@@ -94,9 +94,10 @@
     pub host: Arc<str>,
     /// This node dials it; otherwise it is only waited for.
     pub dial: bool,
-    /// A new connection from it replaces the one that stands, which a client that lost its connection
-    /// needs; otherwise it is turned away while one is open, as section 5.6 has it.
-    pub replace: bool,
+    /// A new connection from it replaces one that has stood for at least this long, in microseconds: a peer that
+    /// lost its connection needs that, long before the watchdog here tells that it is lost. With 0 the new one is
+    /// trusted at once. `None`: it is turned away while one is open, as section 5.6 has it.
+    pub replace: Option<Micros>,
     /// Tw.
     pub watchdog: Micros,
     /// Waits between dials.
@@ -232,6 +233,8 @@
     initiator: Option<ConnId>,
     responder: Option<ConnId>,
     waiting_cer: Option<Vec<u8>>,
+    /// When the connection was opened.
+    opened: Micros,
     watchdog: Watchdog,
     usable: bool,
     failures: u32,
@@ -264,6 +267,7 @@
             initiator: None,
             responder: None,
             waiting_cer: None,
+            opened: 0,
             watchdog,
             usable: false,
             failures: 0,
@@ -277,6 +281,13 @@
         }
     }
 
+    /// Dials no more until [`PeerInput::Start`]. A connection that stands stays, and the peer may still make
+    /// one; a dial that is under way is seen through.
+    pub fn rest(&mut self) {
+        self.stopped = true;
+        self.dial_at = None;
+    }
+
     /// The peer's Origin-Host.
     pub fn host(&self) -> &Arc<str> {
         &self.settings.host
@@ -370,6 +381,7 @@
 
     fn open(&mut self, now: Micros, state: State, message: &MessageRef<'_>, out: &mut Vec<PeerOutput>) {
         self.state = state;
+        self.opened = now;
         self.limit_at = None;
         self.dial_at = None;
         self.failures = 0;
@@ -414,7 +426,8 @@
         self.initiator = None;
         self.responder = None;
         self.usable = false;
-        self.watchdog.disconnected(matches!(reason, DownReason::Disconnected | DownReason::Replaced));
+        let replaced = reason == DownReason::Replaced && self.settings.replace == Some(0);
+        self.watchdog.disconnected(replaced || reason == DownReason::Disconnected);
         out.push(PeerOutput::Down(reason));
         self.retry(now);
         self.in_order = false;
@@ -530,6 +543,12 @@
         }
     }
 
+    /// Whether a new connection takes the place of the one that stands. Where both ends dial, a CER that comes right
+    /// after the other connection opened belongs to an election that is over, and is the loser.
+    fn replaces(&self, now: Micros) -> bool {
+        self.settings.replace.is_some_and(|span| now - self.opened >= span)
+    }
+
     fn accepted(&mut self, now: Micros, conn: ConnId, cer: &MessageRef<'_>, out: &mut Vec<PeerOutput>) {
         if let Err(fault) = check_request(cer).and_then(|()| self.capabilities_fit(cer)) {
             out.push(PeerOutput::Send(conn, self.local.refuse_capabilities(cer, &fault)));
@@ -553,7 +572,7 @@
                 self.waiting_cer = Some(cer.bytes.to_vec());
                 self.elect(now, out);
             }
-            State::ROpen | State::IOpen | State::Closing if self.settings.replace => {
+            State::ROpen | State::IOpen | State::Closing if self.replaces(now) => {
                 if let Some(old) = self.connection() {
                     out.push(PeerOutput::Close(old));
                 }
--- a/crates/lemoncleat-diameter/tests/codec.rs
+++ b/crates/lemoncleat-diameter/tests/codec.rs
@@ -2,8 +2,8 @@
 
 use lemoncleat_diameter::dictionary::{self as d, Kind};
 use lemoncleat_diameter::{
-    check_request, refusal, result_code, AvpRef, Avps, FrameError, FrameReader, GroupBuilder, MessageBuilder,
-    MessageRef, Value, ValueError, HEADER_LEN,
+    check_member_request, check_request, refusal, result_code, AvpRef, Avps, FrameError, FrameReader,
+    GroupBuilder, MessageBuilder, MessageRef, Value, ValueError, HEADER_LEN,
 };
 use proptest::prelude::*;
 
@@ -289,3 +289,23 @@
     let message = MessageRef::parse(&bytes).expect("a message");
     assert_eq!(message.avps().next(), Some(Ok(avp)));
 }
+
+#[test]
+fn a_fleet_word_is_a_command_among_members_alone() {
+    let word = |count: usize| {
+        let request = MessageBuilder::request(d::CMD_FLEET, d::APP_NAS, false, 1, 2)
+            .add_str(d::ORIGIN_HOST, "n1.example")
+            .add_str(d::ORIGIN_REALM, "example");
+        (0..count).fold(request, |request, _| request.add(d::FLEET_WORD, b"any bytes")).build()
+    };
+    let result = |bytes: &[u8]| {
+        let message = MessageRef::parse(bytes).expect("a whole message");
+        check_member_request(&message).map_err(|fault| fault.result)
+    };
+    assert_eq!(fault_of(&word(1)), result_code::COMMAND_UNSUPPORTED);
+    assert_eq!(result(&word(1)), Ok(()));
+    assert_eq!(result(&word(0)), Err(result_code::MISSING_AVP));
+    assert_eq!(result(&word(2)), Err(result_code::AVP_OCCURS_TOO_MANY_TIMES));
+    let avp = MessageRef::parse(&word(1)).ok().and_then(|m| m.find(d::FLEET_WORD).map(|avp| avp.flags));
+    assert_eq!(avp, Some(0x80), "V without M, as all of the project's own");
+}
--- a/crates/lemoncleat-diameter/tests/peer.rs
+++ b/crates/lemoncleat-diameter/tests/peer.rs
@@ -26,7 +26,7 @@
     let settings = PeerSettings {
         host: other.into(),
         dial,
-        replace: false,
+        replace: None,
         watchdog: TW,
         backoff: Backoff { first: 100_000, most: 5_000_000 },
         open_timeout: 2_000_000,
@@ -64,6 +64,7 @@
 
 const A: ConnId = ConnId(1);
 const B: ConnId = ConnId(2);
+const C: ConnId = ConnId(3);
 
 fn connected() -> (Peer, Peer) {
     let (mut node, mut server) =
@@ -271,7 +272,7 @@
     let settings = PeerSettings {
         host: "node.example".into(),
         dial: false,
-        replace: true,
+        replace: Some(0),
         watchdog: TW,
         backoff: Backoff { first: 1, most: 1 },
         open_timeout: 1,
@@ -285,6 +286,28 @@
     assert!(server.is_usable());
 }
 
+#[test]
+fn a_later_connection_replaces_one_that_has_stood_longer_than_an_election_and_must_prove_itself() {
+    let settings = PeerSettings {
+        host: "node.example".into(),
+        dial: false,
+        replace: Some(2_000_000),
+        watchdog: TW,
+        backoff: Backoff { first: 1, most: 1 },
+        open_timeout: 1,
+        close_timeout: 1,
+    };
+    let mut again = peer("node.example", "s.example", true);
+    step(&mut again, 0, PeerInput::Start);
+    let (_, cer) = sent(&step(&mut again, 1, PeerInput::Dialled(B)));
+    let mut member = Peer::new(local("s.example"), settings, 3);
+    accept(&mut member, 1, A, &cer);
+    assert_eq!(accept(&mut member, 2_000_000, B, &cer), [PeerOutput::Close(B)], "the loser of an election");
+    let out = accept(&mut member, 2_000_001, C, &cer);
+    assert_eq!(out[..2], [PeerOutput::Close(A), PeerOutput::Down(DownReason::Replaced)]);
+    assert_eq!((member.connection(), member.is_usable()), (Some(C), false), "RFC 3539 section 3.4.1: REOPEN");
+}
+
 #[test]
 fn traffic_before_the_cea_closes_the_connection() {
     let mut node = peer("node.example", "s.example", true);
@@ -294,3 +317,17 @@
     assert_eq!(receive(&mut node, 2, A, &early)[0], PeerOutput::Close(A));
     assert_eq!(node.state(), State::Closed);
 }
+
+#[test]
+fn a_peer_at_rest_is_not_dialled_and_may_still_come_until_it_is_started() {
+    let (mut a, mut b) = (peer("a.example", "b.example", true), peer("b.example", "a.example", true));
+    a.rest();
+    assert_eq!(a.due(), None);
+    assert_eq!(step(&mut b, 0, PeerInput::Start), [PeerOutput::Dial]);
+    let (_, cer) = sent(&step(&mut b, 0, PeerInput::Dialled(ConnId(1))));
+    accept(&mut a, 0, ConnId(2), &cer);
+    assert!(a.is_open());
+    step(&mut a, 1, PeerInput::Closed(ConnId(2)));
+    assert!(a.is_idle(), "no dial is planned");
+    assert_eq!(step(&mut a, 2, PeerInput::Start), [PeerOutput::Dial]);
+}
--- a/crates/lemoncleat-lab/src/caller.rs
+++ b/crates/lemoncleat-lab/src/caller.rs
@@ -75,7 +75,7 @@
         let settings = PeerSettings {
             host: format!("node-{node}.lab").as_str().into(),
             dial: true,
-            replace: false,
+            replace: None,
             watchdog: 30_000_000,
             backoff: lemoncleat_diameter::Backoff { first: 50_000, most: 1_000_000 },
             open_timeout: 2_000_000,
--- a/crates/lemoncleat-lab/src/echo.rs
+++ b/crates/lemoncleat-lab/src/echo.rs
@@ -120,7 +120,7 @@
             let settings = PeerSettings {
                 host: message.text(d::ORIGIN_HOST).unwrap_or_default().into(),
                 dial: false,
-                replace: true,
+                replace: Some(0),
                 watchdog: 30_000_000,
                 backoff: Backoff { first: 1, most: 1 },
                 open_timeout: 2_000_000,
--- a/crates/lemoncleat-lab/src/load.rs
+++ b/crates/lemoncleat-lab/src/load.rs
@@ -153,7 +153,7 @@
             let peer = PeerSettings {
                 host: settings.node.as_str().into(),
                 dial: true,
-                replace: false,
+                replace: None,
                 watchdog: 30_000_000,
                 backoff: Backoff { first: 100_000, most: 1_000_000 },
                 open_timeout: 2_000_000,
--- a/crates/lemoncleat-lab/src/relay.rs
+++ b/crates/lemoncleat-lab/src/relay.rs
@@ -73,7 +73,7 @@
     let settings = PeerSettings {
         host: host.into(),
         dial,
-        replace: true,
+        replace: Some(0),
         watchdog: 30_000_000,
         backoff: Backoff { first: 100_000, most: 1_000_000 },
         open_timeout: 2_000_000,
--- a/crates/lemoncleat-lab/src/server.rs
+++ b/crates/lemoncleat-lab/src/server.rs
@@ -251,7 +251,7 @@
             let settings = PeerSettings {
                 host: host.into(),
                 dial: false,
-                replace: true,
+                replace: Some(0),
                 watchdog: 30_000_000,
                 backoff: Backoff { first: 1_000_000, most: 1_000_000 },
                 open_timeout: 2_000_000,
--- a/crates/lemoncleat-node/src/call.rs
+++ b/crates/lemoncleat-node/src/call.rs
@@ -61,6 +61,8 @@
     Circuits { token: u32 },
     /// The set-up of a server's call, at a client.
     Incoming { server: PeerId, circuit: u32, call: u64 },
+    /// A word for a member of the fleet; its answer only makes room for the next ones.
+    Word,
     /// A client was told that its call is cut; nothing depends on its answer.
     Abort,
 }
--- a/crates/lemoncleat-node/src/lib.rs
+++ b/crates/lemoncleat-node/src/lib.rs
@@ -17,10 +17,10 @@
 mod translate;
 
 pub use list::{ListEntry, ListNews};
-pub use node::{CircuitOrder, CircuitStatus, GroupStatus, Input, Node, Output, PeerId, Stats};
+pub use node::{CircuitOrder, CircuitStatus, GroupStatus, Input, Node, Output, PeerId, Stats, WORD_MOST};
 pub use notice::{Level, Notice};
 pub use plan::{NumberingPlan, Route};
-pub use settings::{CircuitSettings, NodeSettings, Timing};
+pub use settings::{CircuitSettings, MemberPeer, NodeSettings, Timing};
 
 pub use lemoncleat_circuits as circuits;
 pub use lemoncleat_core::{TimerKey, Wheel};
--- a/crates/lemoncleat-node/src/node/calls.rs
+++ b/crates/lemoncleat-node/src/node/calls.rs
@@ -31,13 +31,17 @@
             (Role::Client, _) => self.session_terminated(conn, message),
             (Role::Server(_), _) if self.trunk(peer).is_some() => self.circuits_asked(peer, conn, message),
             (Role::Server(_), _) => self.session_aborted(peer, conn, message),
+            (Role::Member(member), _) => self.heard(member, conn, message),
         }
     }
 
     /// Whether the node takes a request at all: well formed, meant for it, not gone in a circle, and one
     /// that such a peer may make.
     pub(super) fn acceptable(&self, role: Role, message: &MessageRef<'_>) -> Result<(), Fault> {
-        check_request(message)?;
+        match role {
+            Role::Member(_) => check_member_request(message)?,
+            Role::Client | Role::Server(_) => check_request(message)?,
+        }
         let fault = |result, text: String| Err(Fault { result, text, failed: Vec::new() });
         let looped = message.avps().map_while(Result::ok).any(|avp| {
             avp.code == d::ROUTE_RECORD.code && avp.vendor.is_none() && avp.data == self.local.host.as_bytes()
@@ -60,11 +64,15 @@
             Role::Client => [d::CMD_AA, d::CMD_SESSION_TERMINATION].contains(&message.header.command),
             Role::Server(_) if self.settings.circuits.is_some() => true,
             Role::Server(_) => message.header.command == d::CMD_ABORT_SESSION,
+            Role::Member(_) => message.header.command == d::CMD_FLEET,
         };
         if !allowed {
             let name = d::command_name(message.header.command).unwrap_or("this command");
             return fault(code::COMMAND_UNSUPPORTED, format!("{name} is not taken from such a peer"));
         }
+        if message.find(d::FLEET_WORD).is_some_and(|word| word.data.len() > WORD_MOST) {
+            return fault(code::INVALID_AVP_LENGTH, format!("a word of more than {WORD_MOST} bytes"));
+        }
         Ok(())
     }
 
@@ -433,7 +441,7 @@
                     }
                 }
             }
-            Some(Request::Release { .. } | Request::Abort) => {}
+            Some(Request::Release { .. } | Request::Abort | Request::Word) => {}
             None => {
                 let host = self.host(peer);
                 self.notice(Notice::UnknownAnswer(host, id));
--- a/crates/lemoncleat-node/src/node/mod.rs
+++ b/crates/lemoncleat-node/src/node/mod.rs
@@ -3,10 +3,12 @@
 mod calls;
 mod door;
 mod gap;
+mod members;
 mod peers;
 mod stopping;
 mod trunks;
 
+pub use members::WORD_MOST;
 pub use trunks::{CircuitOrder, CircuitStatus, GroupStatus};
 
 use std::collections::VecDeque;
@@ -20,9 +22,9 @@
 };
 use lemoncleat_diameter::dictionary as d;
 use lemoncleat_diameter::{
-    check_request, refusal, result_code as code, ConnId, DisconnectCause, DownReason, Duplicates, EndToEnd,
-    Fault, FrameError, FrameReader, HopByHop, Local, MessageBuilder, MessageRef, Peer, PeerInput, PeerOutput,
-    PeerSettings, Seen,
+    check_member_request, check_request, refusal, result_code as code, ConnId, DisconnectCause, DownReason,
+    Duplicates, EndToEnd, Fault, FrameError, FrameReader, HopByHop, Local, MessageBuilder, MessageRef, Peer,
+    PeerInput, PeerOutput, PeerSettings, Seen, State, WatchdogState,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -66,6 +68,14 @@
     Away(Micros),
     /// All that came while the loop had no turn has been handed over.
     CaughtUp,
+    /// Dial this member of the fleet, by its place in the settings, and again after a wait whenever its
+    /// connection is lost. One whose connection stands is left as it is.
+    Meet(usize),
+    /// Dial this member no more. A connection that this node made is ended in order; one that the member made is
+    /// its own to end.
+    Part(usize),
+    /// Say something to a member, in at most [`WORD_MOST`] bytes: sent at once, or dropped and counted.
+    Word(usize, &'a [u8]),
     /// Stop in order.
     Stop,
 }
@@ -83,6 +93,13 @@
     Close(ConnId),
     /// Something worth a log line.
     Notice(Notice),
+    /// A connection with this member stands: it can be told words. By its place in the settings.
+    Linked(usize),
+    /// Words no longer reach this member: its connection is gone, being ended, or left a watchdog unanswered.
+    Unlinked(usize),
+    /// A member said something. Only between [`Output::Linked`] and [`Output::Unlinked`], and in the order in
+    /// which it was said there.
+    Heard(usize, Vec<u8>),
     /// All is ended after [`Input::Stop`].
     Stopped,
 }
@@ -120,6 +137,12 @@
     pub incoming: u64,
     /// Circuits lost to the other end's seizure.
     pub yields: u64,
+    /// Words sent to members.
+    pub words_sent: u64,
+    /// Words heard from members.
+    pub words_heard: u64,
+    /// Words that could not be sent: no connection, too much waiting, or too long.
+    pub words_dropped: u64,
     /// Calls standing now.
     pub standing: usize,
     /// Calls being set up now.
@@ -132,6 +155,8 @@
 enum Role {
     Client,
     Server(ServerId),
+    /// By its place in the settings.
+    Member(usize),
 }
 
 struct PeerSlot {
@@ -186,6 +211,7 @@
     conns: FxHashMap<ConnId, Conn>,
     peers: Vec<PeerSlot>,
     hosts: HashMap<Arc<str>, PeerId>,
+    members: members::Members,
     servers: Servers,
     calls: FxHashMap<u64, Call>,
     sessions: HashMap<Arc<str>, u64>,
@@ -238,6 +264,7 @@
             conns: FxHashMap::default(),
             peers: Vec::new(),
             hosts: HashMap::new(),
+            members: members::Members::new(seed),
             servers: Servers::default(),
             calls: FxHashMap::default(),
             sessions: HashMap::new(),
@@ -262,6 +289,7 @@
         for client in node.settings.clients.clone() {
             node.add_peer(client, Role::Client);
         }
+        node.add_members();
         Ok(node)
     }
 
@@ -320,6 +348,9 @@
             Input::Timeout => {}
             Input::Away(since) => self.away(since),
             Input::CaughtUp => self.caught_up(),
+            Input::Meet(member) => self.meet(member),
+            Input::Part(member) => self.part(member),
+            Input::Word(member, bytes) => self.word(member, bytes),
             Input::Stop => self.stop(),
         }
         self.settle();
--- a/crates/lemoncleat-node/src/node/peers.rs
+++ b/crates/lemoncleat-node/src/node/peers.rs
@@ -11,7 +11,8 @@
     }
 
     pub(super) fn accepted(&mut self, conn: ConnId) {
-        if self.conns.len() >= self.settings.max_connections || self.stopping {
+        // Members take no room from clients: each may hold one connection beyond the limit.
+        if self.conns.len() >= self.settings.max_connections + self.members.len() || self.stopping {
             self.notice(Notice::ConnectionsFull(conn));
             self.out.push(Output::Close(conn));
             return;
@@ -131,7 +132,12 @@
         let settings = PeerSettings {
             host: host.clone(),
             dial: role != Role::Client,
-            replace: role == Role::Client,
+            replace: match role {
+                Role::Client => Some(0),
+                Role::Server(_) => None,
+                // Both ends dial: what comes later than an election takes did lose the connection that stands.
+                Role::Member(_) => Some(timing.open),
+            },
             watchdog: timing.watchdog,
             backoff: timing.backoff,
             open_timeout: timing.open,
@@ -146,13 +152,15 @@
             ];
             local = Arc::new(Local { further, ..(*local).clone() });
         }
-        let peer = Peer::new(local, settings, self.rng.random());
+        let rng = if matches!(role, Role::Member(_)) { self.members.rng() } else { &mut self.rng };
+        let (peer_seed, first_id) = (rng.random(), rng.random());
+        let peer = Peer::new(local, settings, peer_seed);
         let id = PeerId(self.peers.len() as u32);
         self.peers.push(PeerSlot {
             peer,
             host: host.clone(),
             role,
-            requests: HopByHop::new(self.rng.random()),
+            requests: HopByHop::new(first_id),
             epoch: 0,
             state_id: None,
             armed: None,
@@ -168,6 +176,7 @@
     pub(super) fn tell_peer(&mut self, id: PeerId, input: PeerInput<'_>) -> bool {
         // One buffer for all turns; a turn within a turn gets a fresh one.
         let mut outputs = std::mem::take(&mut self.outputs);
+        let spoke = matches!(input, PeerInput::Message(..));
         let Some(slot) = self.peers.get_mut(id.0 as usize) else { return false };
         slot.peer.handle(self.now, input, &mut outputs);
         let mut deliver = false;
@@ -185,6 +194,7 @@
                 PeerOutput::Usable => {
                     let host = self.host(id);
                     self.notice(Notice::PeerUsable(host));
+                    self.member_linked(id, true);
                 }
                 PeerOutput::Suspect => self.peer_suspect(id),
                 PeerOutput::Draining(cause) => self.peer_draining(id, cause),
@@ -198,6 +208,9 @@
         }
         self.outputs = outputs;
         self.arm(id);
+        if spoke {
+            self.member_spoke(id);
+        }
         deliver
     }
 
@@ -215,6 +228,7 @@
     pub(super) fn address(&self, id: PeerId) -> Option<SocketAddr> {
         match self.peers.get(id.0 as usize)?.role {
             Role::Server(server) => Some(self.servers.get(server)?.address),
+            Role::Member(member) => Some(self.settings.members.get(member)?.address),
             Role::Client => None,
         }
     }
@@ -224,6 +238,9 @@
     }
 
     pub(super) fn peer_open(&mut self, id: PeerId, capabilities: &[u8]) {
+        if self.member_open(id) {
+            return;
+        }
         let state_id =
             MessageRef::parse(capabilities).ok().and_then(|message| message.number(d::ORIGIN_STATE_ID));
         let fresh = HopByHop::new(self.rng.random());
@@ -244,6 +261,7 @@
                 Role::Server(_) if self.trunk(id).is_none() => self.cut_calls(id, "its server started anew"),
                 Role::Server(_) => {}
                 Role::Client => self.client_is_gone(id),
+                Role::Member(_) => {}
             }
         }
         if let Role::Server(server) = role {
@@ -273,6 +291,7 @@
     pub(super) fn peer_suspect(&mut self, id: PeerId) {
         let host = self.host(id);
         self.notice(Notice::PeerSuspect(host));
+        self.member_linked(id, false);
         for call in self.calls_out(id) {
             self.give_up_attempt(call, Outcome::TimedOut, false);
         }
@@ -292,6 +311,7 @@
     pub(super) fn peer_draining(&mut self, id: PeerId, cause: DisconnectCause) {
         let host = self.host(id);
         self.notice(Notice::PeerDraining(host, cause));
+        self.member_linked(id, false);
         let Some(Role::Server(server)) = self.peers.get(id.0 as usize).map(|slot| slot.role) else { return };
         if let Some(state) = self.servers.get_mut(server) {
             state.leaving = true;
@@ -303,6 +323,9 @@
     pub(super) fn peer_down(&mut self, id: PeerId, reason: DownReason) {
         let host = self.host(id);
         self.notice(Notice::PeerDown(host, reason.clone()));
+        if self.member_linked(id, false) {
+            return;
+        }
         let fresh = HopByHop::new(self.rng.random());
         let Some(slot) = self.peers.get_mut(id.0 as usize) else { return };
         let mut requests = std::mem::replace(&mut slot.requests, fresh);
@@ -327,7 +350,7 @@
                     self.owe(id, session);
                 }
                 Request::Incoming { server, circuit, call } => self.client_answered(server, circuit, call, 0),
-                Request::GivenUp { .. } | Request::Circuits { .. } | Request::Abort => {}
+                Request::GivenUp { .. } | Request::Circuits { .. } | Request::Word | Request::Abort => {}
             }
         }
         let timing = &self.settings.timing;
@@ -335,6 +358,7 @@
             (_, DownReason::Replaced) => return,
             (Role::Client, _) => timing.client_return,
             (Role::Server(_), _) => timing.server_return,
+            (Role::Member(_), _) => return,
         };
         if self.stopping {
             self.finish_stopping(false);
@@ -360,6 +384,7 @@
         match slot.role {
             Role::Client => self.client_is_gone(id),
             Role::Server(_) => self.cut_calls(id, "its server did not come back"),
+            Role::Member(_) => {}
         }
     }
 
@@ -392,8 +417,13 @@
         };
         let mut named = Vec::new();
         for entry in &entries {
-            if self.hosts.get(&entry.host).is_some_and(|id| self.peers[id.0 as usize].role == Role::Client) {
-                let text = "the list names a client as a server".to_owned();
+            let what = match self.hosts.get(&entry.host).map(|id| self.peers[id.0 as usize].role) {
+                Some(Role::Client) => Some("client"),
+                Some(Role::Member(_)) => Some("member of the fleet"),
+                Some(Role::Server(_)) | None => None,
+            };
+            if let Some(what) = what {
+                let text = format!("the list names a {what} as a server");
                 self.notice(Notice::PeerRefused(entry.host.clone(), text));
                 continue;
             }
--- a/crates/lemoncleat-node/src/node/stopping.rs
+++ b/crates/lemoncleat-node/src/node/stopping.rs
@@ -34,7 +34,9 @@
         if clients_open > 0 && !at_once {
             return;
         }
-        let servers_open = self.end_peers(|slot| slot.role != Role::Client);
+        // The fleet is of use until the last call is over, and is not waited for.
+        self.end_members();
+        let servers_open = self.end_peers(|slot| matches!(slot.role, Role::Server(_)));
         if clients_open + servers_open == 0 && !self.stopped {
             self.stopped = true;
             self.out.push(Output::Stopped);
--- a/crates/lemoncleat-node/src/notice.rs
+++ b/crates/lemoncleat-node/src/notice.rs
@@ -58,6 +58,8 @@
     CallsFull(Arc<str>),
     /// Too much waits to be written to a peer.
     QueueFull(Arc<str>),
+    /// A word for a member was this many bytes long: more than are carried.
+    WordTooLong(Arc<str>, usize),
     /// A call reached its last moment without an answer from the module, and was failed.
     LastMoment(u64),
     /// An answer stayed here: its caller's deadline was over by so much.
@@ -146,6 +148,9 @@
             Notice::ConnectionsFull(conn) => write!(f, "connection {} closed: too many", conn.0),
             Notice::CallsFull(host) => write!(f, "call of {host} turned away: too many calls"),
             Notice::QueueFull(host) => write!(f, "too much waits to be written to {host}"),
+            Notice::WordTooLong(host, bytes) => {
+                write!(f, "word of {bytes} bytes for member {host} refused: too long")
+            }
             Notice::LastMoment(call) => write!(f, "call {call} failed at its last moment"),
             Notice::Withheld { session, result, late } => {
                 let ms = *late as f64 / 1e3;
--- a/crates/lemoncleat-node/src/settings.rs
+++ b/crates/lemoncleat-node/src/settings.rs
@@ -1,6 +1,6 @@
 //! What a node is told at its start.
 
-use std::net::IpAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 
 use lemoncleat::Settings;
@@ -68,6 +68,15 @@
     pub audits: Option<Audits>,
 }
 
+/// Another node of the fleet.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct MemberPeer {
+    /// Its Origin-Host.
+    pub host: Arc<str>,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
 /// What a node is told at its start.
 #[derive(Clone, Debug)]
 pub struct NodeSettings {
@@ -79,6 +88,9 @@
     pub addresses: Vec<IpAddr>,
     /// Origin-Hosts of the clients that may connect.
     pub clients: Vec<Arc<str>>,
+    /// The nodes of the fleet; none for a node on its own. The node itself may stand among them and is passed
+    /// over, so that all nodes can be given one list and one numbering.
+    pub members: Vec<MemberPeer>,
     /// What the decision module is told.
     pub module: Settings,
     /// Class and pool of first choice by number.
@@ -109,6 +121,7 @@
             realm: realm.into(),
             addresses: vec![IpAddr::from([127, 0, 0, 1])],
             clients: Vec::new(),
+            members: Vec::new(),
             module,
             plan,
             timing: Timing::default(),
--- a/crates/lemoncleat-node/tests/common/mod.rs
+++ b/crates/lemoncleat-node/tests/common/mod.rs
@@ -78,6 +78,9 @@
     pub closed: Vec<ConnId>,
     pub dials: Vec<(PeerId, SocketAddr)>,
     pub notices: Vec<Notice>,
+    /// What members said, and how their links came and went.
+    pub heard: Vec<(usize, Vec<u8>)>,
+    pub links: Vec<(usize, bool)>,
     pub stopped: bool,
     /// What is sent counts as written at once.
     pub writes: bool,
@@ -95,6 +98,8 @@
             closed: Vec::new(),
             dials: Vec::new(),
             notices: Vec::new(),
+            heard: Vec::new(),
+            links: Vec::new(),
             stopped: false,
             writes: true,
             next_conn: 0,
@@ -120,6 +125,9 @@
                 }
                 Output::Close(conn) => self.closed.push(conn),
                 Output::Notice(notice) => self.notices.push(notice),
+                Output::Linked(member) => self.links.push((member, true)),
+                Output::Unlinked(member) => self.links.push((member, false)),
+                Output::Heard(member, word) => self.heard.push((member, word)),
                 Output::Stopped => self.stopped = true,
             }
         }
--- a/crates/lemoncleat-service/src/config.rs
+++ b/crates/lemoncleat-service/src/config.rs
@@ -15,6 +15,7 @@
 use lemoncleat_settings::{from_str, Error, Size, Span};
 use serde::Deserialize;
 
+use crate::fleet_settings::FleetFile;
 use crate::log::LogFormat;
 use crate::service::{ServiceSettings, TlsSettings, TlsSource};
 
@@ -41,6 +42,9 @@
 /// The shortest `timing.gap`.
 const SHORTEST_GAP: i64 = 10_000;
 
+/// The smallest `limits.message` with which the longest word of a fleet comes through.
+const LEAST_WITH_FLEET: usize = 36 * 1024;
+
 /// A mistake in a settings file.
 pub type ConfigError = Error;
 
@@ -84,6 +88,8 @@
     #[serde(default)]
     circuits: Option<CircuitsFile>,
     #[serde(default)]
+    fleet: Option<FleetFile>,
+    #[serde(default)]
     timing: TimingFile,
     #[serde(default)]
     limits: LimitsFile,
@@ -522,7 +528,7 @@
     }
 }
 
-fn bad<T>(path: &str, message: impl Into<String>) -> Result<T, Error> {
+pub(crate) fn bad<T>(path: &str, message: impl Into<String>) -> Result<T, Error> {
     Err(Error { place: None, path: path.to_owned(), message: message.into() })
 }
 
@@ -611,6 +617,16 @@
             node.circuits = Some(circuits.settings());
         }
         node.trace_calls = self.log.calls;
+        let fleet = self.fleet.map(|fleet| fleet.settings(&self.host)).transpose()?;
+        if let Some(fleet) = &fleet {
+            let other = |host: &str| self.clients.iter().any(|client| client == host);
+            fleet.apart_from(other, "clients")?;
+            fleet.apart_from(|host| self.servers.iter().any(|server| server.host == host), "servers")?;
+            if node.max_message < LEAST_WITH_FLEET {
+                return bad("limits.message", "below 36KiB beside a fleet, whose words may have 32KiB");
+            }
+            node.members = fleet.peers();
+        }
         let servers = self.servers.into_iter().map(|server| ListEntry {
             host: server.host.into(),
             address: server.address,
@@ -627,6 +643,7 @@
             tls: self.tls.map(|tls| tls.settings(&self.host)).transpose()?,
             control: self.control,
             seed: self.seed,
+            fleet,
         };
         let format = match self.log.format {
             FormatFile::Text => LogFormat::Text,
--- a/crates/lemoncleat-service/src/control.rs
+++ b/crates/lemoncleat-service/src/control.rs
@@ -1,9 +1,12 @@
 //! The control port: one JSON object a line in, one out, for operators on the node's own machine.
 //!
 //! `{"op":"list"}`, `{"op":"circuits","server":S}`, and `{"op":"block"|"unblock"|"reset"|"audit","server":S,
-//! "first":N,"count":N,"hardware":BOOL}`, and `{"op":"renew"}` for a new certificate. The answer has `"ok":true`, or `"ok":false` and `"error"`.
+//! "first":N,"count":N,"hardware":BOOL}`, and `{"op":"renew"}` for a new certificate. In a fleet `{"op":"members"}`,
+//! `{"op":"agreement"}`, `{"op":"mark","order":O,"text":T}` (answered once it is agreed) and `{"op":"marks","after":N}`. The
+//! answer has `"ok":true`, or `"ok":false` and `"error"`.
 
 use lemoncleat_certificates::Keeper;
+use lemoncleat_commons::{Part, Said};
 use lemoncleat_node::circuits::{Blocks, Range, State};
 use lemoncleat_node::{CircuitOrder, Micros, Node, Output};
 use serde::Deserialize;
@@ -22,6 +25,10 @@
     Reset,
     Audit,
     Renew,
+    Members,
+    Agreement,
+    Mark,
+    Marks,
 }
 
 #[derive(Deserialize)]
@@ -36,6 +43,22 @@
     count: u32,
     #[serde(default)]
     hardware: bool,
+    #[serde(default)]
+    order: String,
+    #[serde(default)]
+    text: String,
+    #[serde(default)]
+    after: u64,
+}
+
+/// What an operator can reach at a node.
+pub(crate) struct At<'a> {
+    pub(crate) node: &'a mut Node,
+    pub(crate) keeper: Option<&'a Keeper>,
+    pub(crate) fleet: Option<&'a mut Part>,
+    pub(crate) now: Micros,
+    /// His connection.
+    pub(crate) conn: u64,
 }
 
 fn block_text(blocks: Blocks) -> &'static str {
@@ -59,27 +82,46 @@
     }
 }
 
-/// Answers a line.
+/// Answers a line; nothing if the answer follows later.
 pub(crate) fn answer(
-    node: &mut Node,
-    keeper: Option<&Keeper>,
-    now: Micros,
+    at: &mut At<'_>,
     line: &[u8],
     out: &mut Vec<Output>,
-) -> Value {
-    match serde_json::from_slice::<Order>(line) {
-        Ok(Order { op: Op::Renew, .. }) => match keeper {
+    said: &mut Vec<Said>,
+) -> Option<Value> {
+    let order = match serde_json::from_slice::<Order>(line) {
+        Ok(order) => order,
+        Err(error) => return Some(json!({"ok": false, "error": error.to_string()})),
+    };
+    Some(match order.op {
+        Op::Renew => match at.keeper {
             Some(keeper) => {
                 keeper.renew_now();
                 json!({"ok": true})
             }
             None => json!({"ok": false, "error": "this node's certificates do not come by ACME"}),
         },
-        Ok(order) => {
-            carry_out(node, now, &order, out).unwrap_or_else(|error| json!({"ok": false, "error": error}))
-        }
-        Err(error) => json!({"ok": false, "error": error.to_string()}),
-    }
+        Op::Members | Op::Agreement | Op::Mark | Op::Marks => return ask_fleet(at, &order, said),
+        _ => carry_out(at.node, at.now, &order, out)
+            .unwrap_or_else(|error| json!({"ok": false, "error": error})),
+    })
+}
+
+fn ask_fleet(at: &mut At<'_>, order: &Order, said: &mut Vec<Said>) -> Option<Value> {
+    let Some(fleet) = &mut at.fleet else {
+        return Some(json!({"ok": false, "error": "this node is in no fleet"}));
+    };
+    let answer = match order.op {
+        Op::Members => Some(fleet.members(at.now)),
+        Op::Marks => fleet.marks(order.after),
+        Op::Mark if fleet.mark(at.now, at.conn, &order.order, &order.text, said) => return None,
+        Op::Mark => None,
+        _ => fleet.agreement(),
+    };
+    Some(
+        answer
+            .unwrap_or_else(|| json!({"ok": false, "error": "this fleet has no voters: nothing is agreed"})),
+    )
 }
 
 fn carry_out(node: &mut Node, now: Micros, order: &Order, out: &mut Vec<Output>) -> Result<Value, String> {
@@ -118,7 +160,9 @@
         Op::Unblock => CircuitOrder::Unblock { hardware },
         Op::Reset => CircuitOrder::Reset,
         Op::Audit => CircuitOrder::Audit,
-        Op::Renew => return Err("not about circuits".to_owned()),
+        Op::Renew | Op::Members | Op::Agreement | Op::Mark | Op::Marks => {
+            return Err("not about circuits".to_owned());
+        }
     };
     let range = Range { first: order.first, count: order.count };
     node.order(now, &order.server, range, wanted, out)?;
--- /dev/null
+++ b/crates/lemoncleat-service/src/fleet_settings.rs
@@ -0,0 +1,229 @@
+//! What a node's settings file says of its fleet.
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+
+use lemoncleat_node::{MemberPeer, Micros};
+use lemoncleat_settings::{Error, Span};
+use serde::Deserialize;
+
+use crate::config::bad;
+
+/// Most members of a fleet.
+const MOST_MEMBERS: usize = 1024;
+/// The shortest and the longest round, in microseconds.
+const ROUNDS: std::ops::RangeInclusive<Micros> = 10_000..=60_000_000;
+
+/// The nodes that act as one, and this node's part among them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FleetSettings {
+    /// All of its nodes, this one among them.
+    pub members: Vec<FleetMember>,
+    /// The zone of this node.
+    pub zone: Arc<str>,
+    /// Members that agree for all: none, three or five.
+    pub voters: Vec<Arc<str>>,
+    /// The directory where a voter keeps what it promised; there if and only if this node is one.
+    pub store: Option<PathBuf>,
+    /// How often the node talks to others, in microseconds.
+    pub round: Micros,
+}
+
+/// A node of a fleet.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FleetMember {
+    /// Its Origin-Host.
+    pub host: Arc<str>,
+    /// Where it listens for the others.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: Arc<str>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub(crate) struct FleetFile {
+    members: Vec<MemberFile>,
+    #[serde(default)]
+    zone: Option<String>,
+    #[serde(default)]
+    voters: Vec<String>,
+    #[serde(default)]
+    store: Option<PathBuf>,
+    #[serde(default = "round")]
+    round: Span,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case", rename = "member")]
+struct MemberFile {
+    host: String,
+    address: SocketAddr,
+    #[serde(default)]
+    zone: String,
+}
+
+fn round() -> Span {
+    Span(200_000)
+}
+
+impl FleetFile {
+    /// The settings of the node that has this name.
+    pub(crate) fn settings(self, own: &str) -> Result<FleetSettings, Error> {
+        if self.members.len() > MOST_MEMBERS {
+            let text = format!("{} members, expected {MOST_MEMBERS} at the most", self.members.len());
+            return bad("fleet.members", text);
+        }
+        let (mut hosts, mut addresses) = (HashSet::new(), HashSet::new());
+        for (index, member) in self.members.iter().enumerate() {
+            let path = |field: &str| format!("fleet.members[{index}].{field}");
+            let fits = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '.' | '_');
+            if member.host.is_empty() || !member.host.chars().all(fits) {
+                let text = format!("{:?}, expected a name of letters, digits, '-', '_' and '.'", member.host);
+                return bad(&path("host"), text);
+            }
+            if !hosts.insert(member.host.as_str()) {
+                return bad(&path("host"), format!("{:?} stands twice", member.host));
+            }
+            if !addresses.insert(member.address) {
+                return bad(&path("address"), format!("{} stands twice", member.address));
+            }
+            if member.address.port() == 0 {
+                return bad(&path("address"), format!("{}, expected a port", member.address));
+            }
+        }
+        let Some(me) = self.members.iter().find(|member| member.host == own) else {
+            return bad("fleet.members", format!("{own:?} is missing: this node must be one of them"));
+        };
+        if let Some(zone) = self.zone.as_ref().filter(|zone| **zone != me.zone) {
+            let text = format!("{zone:?}, but among the members this node is in zone {:?}", me.zone);
+            return bad("fleet.zone", text);
+        }
+        if ![0, 3, 5].contains(&self.voters.len()) {
+            let text = format!("{} voters, expected none, three or five", self.voters.len());
+            return bad("fleet.voters", text);
+        }
+        for (index, voter) in self.voters.iter().enumerate() {
+            let path = format!("fleet.voters[{index}]");
+            if !hosts.contains(voter.as_str()) {
+                return bad(&path, format!("{voter:?} is no member"));
+            }
+            if self.voters.iter().take(index).any(|other| other == voter) {
+                return bad(&path, format!("{voter:?} stands twice"));
+            }
+        }
+        match (&self.store, self.voters.iter().any(|voter| voter == own)) {
+            (None, true) => return bad("fleet.store", "missing, expected a directory: this node is a voter"),
+            (Some(_), false) => return bad("fleet.store", "given, but this node is no voter"),
+            _ => {}
+        }
+        if !ROUNDS.contains(&self.round.0) {
+            return bad("fleet.round", "expected 10ms to 60s");
+        }
+        let zone = me.zone.as_str().into();
+        let member = |member: MemberFile| FleetMember {
+            host: member.host.into(),
+            address: member.address,
+            zone: member.zone.into(),
+        };
+        Ok(FleetSettings {
+            zone,
+            members: self.members.into_iter().map(member).collect(),
+            voters: self.voters.into_iter().map(Into::into).collect(),
+            store: self.store,
+            round: self.round.0,
+        })
+    }
+}
+
+impl FleetSettings {
+    /// The members as the node's core takes them, in the same order.
+    pub fn peers(&self) -> Vec<MemberPeer> {
+        let peer = |member: &FleetMember| MemberPeer { host: member.host.clone(), address: member.address };
+        self.members.iter().map(peer).collect()
+    }
+
+    /// That no member stands under another field of the file too.
+    pub(crate) fn apart_from(&self, named: impl Fn(&str) -> bool, field: &str) -> Result<(), Error> {
+        match self.members.iter().position(|member| named(&member.host)) {
+            Some(at) => {
+                let host = &self.members[at].host;
+                let text = format!("{host:?} stands under {field} too, expected only one of the two");
+                bad(&format!("fleet.members[{at}].host"), text)
+            }
+            None => Ok(()),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use crate::config::read;
+
+    const NODE: &str = "(plain yes) (host n1.example) (realm example) (listen 127.0.0.1:0)
+(servers (server (host s.example) (address 127.0.0.1:4000)))
+(clients c.example)
+(classes (class (name browse) (aim 1500ms) (deadline 9s) (worth 1)))
+(plan (prefix (digits 351) (class browse) (place 2)))
+";
+    const FLEET: &str = r#"(fleet (members ((host "n1.example") (address "127.0.0.1:3868") (zone "z1"))
+  (member (host n2.example) (address 127.0.0.1:3869) (zone z2))
+  (member (host n3.example) (address 127.0.0.1:3870) (zone z3))
+  ((host n4.example) (address 127.0.0.1:3871)))
+ (voters n1.example n2.example n3.example) (store "ledger") (round 500ms) (zone z1))"#;
+
+    #[test]
+    fn a_fleet_is_read_and_a_file_without_one_has_none() {
+        let config = read(&format!("{NODE}{FLEET}")).expect("a good file");
+        let fleet = config.service.fleet.expect("a fleet");
+        assert_eq!((fleet.members.len(), fleet.voters.len(), fleet.round), (4, 3, 500_000));
+        assert_eq!((&*fleet.zone, &*fleet.members[2].zone), ("z1", "z3"));
+        assert_eq!(config.service.node.members, fleet.peers());
+        let alone = read(NODE).expect("a good file").service;
+        assert!(alone.fleet.is_none() && alone.node.members.is_empty());
+    }
+
+    #[test]
+    fn what_does_not_fit_in_a_fleet_is_told_with_its_field() {
+        let cases = [
+            ("(host n2.example)", "(host n1.example)", "fleet.members[1].host: \"n1.example\" stands twice"),
+            ("(host n2.example)", "(host \"n 2\")", "fleet.members[1].host: \"n 2\", expected a name"),
+            (
+                "(host n4.example)",
+                "(host c.example)",
+                "fleet.members[3].host: \"c.example\" stands under clients",
+            ),
+            (
+                "(host n4.example)",
+                "(host s.example)",
+                "fleet.members[3].host: \"s.example\" stands under servers",
+            ),
+            ("127.0.0.1:3871", "127.0.0.1:3869", "fleet.members[3].address: 127.0.0.1:3869 stands twice"),
+            ("\"n1.example\"", "n5.example", "fleet.members: \"n1.example\" is missing"),
+            ("(zone z1))", "(zone z9))", "fleet.zone: \"z9\", but"),
+            ("(voters n1.example", "(voters", "fleet.voters: 2 voters, expected none, three or five"),
+            ("(voters n1", "(voters n2", "fleet.voters[1]: \"n2.example\" stands twice"),
+            ("(voters n1", "(voters n7", "fleet.voters[0]: \"n7.example\" is no member"),
+            ("(store \"ledger\")", "", "fleet.store: missing, expected a directory"),
+            (
+                "(voters n1.example n2.example n3.example)",
+                "",
+                "fleet.store: given, but this node is no voter",
+            ),
+            ("(round 500ms)", "(round 1ms)", "fleet.round: expected 10ms"),
+            ("(round 500ms)", "(rounds 500ms)", "fleet: unknown field `rounds`"),
+            ("(fleet ", "(limits (message 16KiB)) (fleet ", "limits.message: below 36KiB beside a fleet"),
+        ];
+        for (good, wrong, expected) in cases {
+            let text = format!("{NODE}{}", FLEET.replacen(good, wrong, 1));
+            let told = read(&text).expect_err("a mistake").to_string();
+            assert!(told.contains(expected), "told {told:?}, expected {expected:?}");
+        }
+        let many: String =
+            (0..1025).map(|n| format!("((host m{n}.x) (address 127.0.0.1:{}))", n + 1)).collect();
+        let told = read(&format!("{NODE}(fleet (members {many}))")).expect_err("too many").to_string();
+        assert!(told.contains("fleet.members: 1025 members, expected 1024 at the most"), "{told}");
+    }
+}
--- a/crates/lemoncleat-service/src/service.rs
+++ b/crates/lemoncleat-service/src/service.rs
@@ -18,6 +18,9 @@
     ConnId, Input, ListEntry, ListNews, Micros, Node, NodeSettings, Output, PeerId, Stats,
 };
 
+use lemoncleat_commons::{Part, Said};
+
+use crate::fleet::{figures, FleetDriver, Stored};
 use crate::{control, feed, log};
 
 /// Events handled before what they led to is written, and how long that may take.
@@ -46,6 +49,8 @@
     pub control: Option<SocketAddr>,
     /// Seed of the node's random choices; by default from the clock.
     pub seed: Option<u64>,
+    /// What it shares with other nodes; `None` for a node on its own.
+    pub fleet: Option<crate::FleetSettings>,
 }
 
 /// Where a node's certificate comes from.
@@ -87,6 +92,8 @@
     Stop,
     /// Do nothing for a while, as a process that gets no turn; for rehearsals.
     Stall(Duration),
+    /// The thread that keeps what a voter promised has written a batch, or failed to.
+    Stored(u64, Result<(), String>),
     /// Tell what was done so far.
     Stats(mpsc::Sender<Stats>),
 }
@@ -242,8 +249,19 @@
             away: false,
             stopped: false,
             keeper: None,
+            fleet: None,
+            said: Vec::new(),
         };
         service.load_tls().map_err(ServiceError::Settings)?;
+        if let Some(settings) = &settings.fleet {
+            let mailbox = service.net.sender();
+            let stored = move |(batch, result): Stored| {
+                // Once the loop has ended there is nobody to tell.
+                let _ = mailbox.send_blocking(Control::Stored(batch, result));
+            };
+            let driver = FleetDriver::new(&service.host, settings, state_id, seed, stored);
+            service.fleet = Some(driver.map_err(ServiceError::Settings)?);
+        }
         service.start_keeper().map_err(ServiceError::Settings)?;
         let challenge = service.keeper.as_ref().and_then(Keeper::challenge_address);
         ready(Started { mailbox, control: control_address, challenge });
@@ -278,6 +296,9 @@
     stopped: bool,
     /// Keeps it in certificates, where they come by ACME.
     keeper: Option<Keeper>,
+    /// Its part in a fleet.
+    fleet: Option<FleetDriver>,
+    said: Vec<Said>,
 }
 
 impl Service {
@@ -373,20 +394,66 @@
                 Output::Close(conn) => self.net.close(conn.0),
                 Output::Notice(notice) => log::emit(&self.host, &notice),
                 Output::Stopped => self.stopped = true,
+                Output::Linked(member) => self.part(|part, now, said| part.linked(now, member, true, said)),
+                Output::Unlinked(member) => {
+                    self.part(|part, now, said| part.linked(now, member, false, said))
+                }
+                Output::Heard(member, bytes) => {
+                    self.part(|part, now, said| part.heard(now, member, &bytes, said));
+                }
             }
         }
     }
 
+    /// Gives the fleet's part a turn and carries out what it says.
+    fn part(&mut self, turn: impl FnOnce(&mut Part, Micros, &mut Vec<Said>)) {
+        let now = self.clock();
+        let Some(driver) = &mut self.fleet else { return };
+        turn(&mut driver.part, now, &mut self.said);
+        for said in std::mem::take(&mut self.said) {
+            match said {
+                Said::Meet(member) => self.handle(Input::Meet(member)),
+                Said::Part(member) => self.handle(Input::Part(member)),
+                Said::Word(member, bytes) => self.handle(Input::Word(member, &bytes)),
+                Said::Answer(conn, answer) if self.operators.contains_key(&conn) => {
+                    self.net.send(conn, format!("{answer}\n").as_bytes());
+                }
+                Said::Answer(..) => {}
+                Said::Store(batch) => {
+                    let number = batch.number;
+                    if !self.fleet.as_ref().is_some_and(|driver| driver.store(batch)) {
+                        let why = Err("the thread that stores has ended".to_owned());
+                        self.part(|part, now, said| part.stored(now, number, why, said));
+                    }
+                }
+                Said::Log(true, text) => tracing::warn!(node = &*self.host, "{text}"),
+                Said::Log(false, text) => tracing::info!(node = &*self.host, "{text}"),
+            }
+        }
+    }
+
+    /// The fleet's part comes after all that calls want of a turn.
+    fn fleet_turn(&mut self) {
+        let now = self.clock();
+        let due = self.fleet.as_ref().and_then(|driver| driver.part.wake());
+        if due.is_some_and(|due| due <= now) {
+            let figures = figures(&self.node.stats());
+            self.part(|part, now, said| part.timeout(now, figures, said));
+        }
+    }
+
     async fn run(mut self) -> Stats {
         let moment = |start: Instant, at: Micros| start + Duration::from_micros(at.max(0) as u64);
         loop {
             // Between two looks lies at most half a gap, so that a longer pause is seen for what it is.
             let beat = self.looked + self.gap / 2;
-            let wake = self.node.wake().map_or(beat, |wake| wake.min(beat));
+            let part = self.fleet.as_ref().and_then(|driver| driver.part.wake());
+            let wake = self.node.wake().into_iter().chain(part).fold(beat, Micros::min);
             let event = self.net.next(Some(moment(self.start, wake))).await;
             self.turn();
             self.batch(event).await;
             self.handle(Input::Timeout);
+            self.fleet_turn();
             self.write();
             if self.away {
                 self.catch_up().await;
@@ -453,13 +520,22 @@
             let line: Vec<u8> = held.drain(..=end).collect();
             let now = self.turn();
             let keeper = self.keeper.as_ref();
-            let answer = control::answer(&mut self.node, keeper, now, &line, &mut self.outputs);
-            self.net.send(conn, format!("{answer}\n").as_bytes());
+            let mut at = control::At {
+                node: &mut self.node,
+                keeper,
+                fleet: self.fleet.as_mut().map(|driver| &mut driver.part),
+                now,
+                conn,
+            };
+            if let Some(answer) = control::answer(&mut at, &line, &mut self.outputs, &mut self.said) {
+                self.net.send(conn, format!("{answer}\n").as_bytes());
+            }
         }
         if held.len() > control::MAX_LINE {
             return self.net.close(conn);
         }
         self.operators.insert(conn, held);
+        self.part(|_, _, _| {});
     }
 
     async fn event(&mut self, event: Event<Control>) {
@@ -474,7 +550,9 @@
                 }
             }
             Event::Bytes { conn, bytes } if self.operators.contains_key(&conn) => self.operator(conn, &bytes),
-            Event::Closed { conn } if self.operators.remove(&conn).is_some() => {}
+            Event::Closed { conn } if self.operators.remove(&conn).is_some() => {
+                self.part(|part, _, _| part.operator_left(conn));
+            }
             Event::Dialled { tag, conn } => self.handle(Input::Dialled(PeerId(tag as u32), ConnId(conn))),
             Event::DialFailed { tag, .. } => self.handle(Input::DialFailed(PeerId(tag as u32))),
             Event::Bytes { conn, bytes } => {
@@ -494,6 +572,9 @@
                     keeper.renew_now();
                 }
             }
+            Event::Message(Control::Stored(batch, result)) => {
+                self.part(|part, now, said| part.stored(now, batch, result, said));
+            }
             Event::Message(Control::Stop) => self.handle(Input::Stop),
             Event::Message(Control::Stats(answer)) => {
                 let _ = answer.send(self.node.stats());
--- a/crates/lemoncleat-simulate/src/simulation.rs
+++ b/crates/lemoncleat-simulate/src/simulation.rs
@@ -542,6 +542,8 @@
                 self.ends(conn.0);
                 self.close(conn.0, NODE, false);
             }
+            // No fleet is played here.
+            Output::Linked(_) | Output::Unlinked(_) | Output::Heard(..) => {}
             Output::Notice(_) | Output::Stopped => {}
         }
     }
