`rehearse agree`: real processes agree on orders while voters are killed, paused and cut off

Need: that the agreement holds among real processes, on disks and sockets, is shown by no test of its core.

Change: `lemoncleat rehearse agree [--nodes N] [--seed S] [--length SPAN] [--json FILE]` starts nodes in three zones, with three voters, behind the stage's relay. Operators give orders at any node and again at another until they are answered; a fault each second or two: the leader killed, paused, cut off, mute, deaf, flapping, reset, two voters killed, a bridge, a zone cut off, a follower without its disk, at the end a voter without its disk, which only learns from then on. A judge of its own reads the marks of every node: answered ones stand at their entry, once, nothing else does, and all nodes hold the same.

--- a/crates/lemoncleat-cli/src/args.rs
+++ b/crates/lemoncleat-cli/src/args.rs
@@ -64,7 +64,10 @@
 
 #[derive(ClapArgs)]
 pub struct RehearseArgs {
-    /// A built-in day (payday, glare, renewals, renewals-hard, calm, short and others) or the file of a script.
+    /// A built-in day (payday, glare, renewals, renewals-hard, calm, short and others), `agree`, or the file of a
+    /// script.
+    ///
+    /// `agree` starts real processes that agree on operators' marks while voters are killed, paused and cut off.
     #[arg(default_value = "payday", conflicts_with = "bench_day")]
     pub day: String,
     /// A day of the operators' bench, as JSON, in place of a script.
@@ -79,6 +82,9 @@
     /// How long calls arrive, in place of the script's; its troubles come over and over.
     #[arg(long, value_name = "SPAN")]
     pub length: Option<Span>,
+    /// How many nodes the rehearsals of a fleet start, 3 to 64.
+    #[arg(long, default_value_t = 9, value_parser = clap::value_parser!(u32).range(3..=64))]
+    pub nodes: u32,
     /// Seed of the stand-ins and nodes; by default the script's.
     #[arg(long)]
     pub seed: Option<u64>,
--- a/crates/lemoncleat-cli/src/main.rs
+++ b/crates/lemoncleat-cli/src/main.rs
@@ -5,6 +5,7 @@
 mod cert;
 mod circuits;
 mod control;
+mod fleet;
 mod glare;
 mod lab;
 mod measure;
@@ -37,6 +38,11 @@
 }
 
 fn main() -> ExitCode {
+    #[cfg(feature = "faults")]
+    if let Err(error) = lemoncleat_faults::attend() {
+        eprintln!("lemoncleat: no stage: {error}");
+        return ExitCode::from(1);
+    }
     let done = match Args::parse().command {
         Command::Node(args) => node::run(&args),
         Command::Access => access::run(),
--- a/crates/lemoncleat-cli/src/rehearse.rs
+++ b/crates/lemoncleat-cli/src/rehearse.rs
@@ -32,7 +32,7 @@
     }
     let file = Path::new(&args.day);
     if !file.exists() {
-        let known: Vec<&str> = builtin_names().collect();
+        let known: Vec<&str> = builtin_names().chain([crate::fleet::AGREE]).collect();
         let why = format!("{:?} is neither a file nor a built-in day ({})", args.day, known.join(", "));
         return Err(Failure::Usage(why));
     }
@@ -40,6 +40,9 @@
 }
 
 pub fn run(args: &RehearseArgs) -> Result<(), Failure> {
+    if args.bench_day.is_none() && args.day == crate::fleet::AGREE {
+        return crate::fleet::agree(args);
+    }
     let mut day = the_day(args)?;
     if let Some(seed) = args.seed {
         day.seed = seed;
--- a/crates/lemoncleat-lab/src/lib.rs
+++ b/crates/lemoncleat-lab/src/lib.rs
@@ -5,9 +5,10 @@
 //!   operators' bench can be read with [`bench_day`].
 //! - [`rehearse`] plays a day against access nodes and returns the [`Capture`] of its frames.
 //! - [`judge`] works the five rules and the service out of a capture, sharing no state machine with the node.
-//! - [`stage`] starts real processes and disturbs their links.
+//! - [`stage`] starts real processes and disturbs their links; [`rehearse_agree`] plays and judges what they agree on.
 //! - [`load`] offers calls at a steady rate and measures set-up times.
 
+mod agree;
 mod bench_day;
 mod caller;
 mod capture;
@@ -30,6 +31,7 @@
 mod wire;
 mod world;
 
+pub use agree::{rehearse_agree, AgreePlan, AgreeVerdict, Check};
 pub use bench_day::{bench_day, BenchDay, BenchDayError};
 pub use capture::{Capture, CaptureError, ClassFacts, End, Facts, Record};
 pub use credentials::Credentials;
