Traces tell circuits, reasons and patience

Change: a frame in words ends with the operation, circuit, count, reason and patience that it holds.

--- a/crates/lemoncleat-lab/src/capture.rs
+++ b/crates/lemoncleat-lab/src/capture.rs
@@ -216,7 +216,21 @@
                     code => format!(" {code}"),
                 };
                 let hop = head.hop_by_hop;
-                format!("{at:.6} {end:?} {way} node {node}, connection {conn}: {name}{result} {session} ({hop:#x})")
+                // What circuits and deadlines are explained by.
+                let told = [
+                    ("operation", d::CIRCUIT_OPERATION),
+                    ("circuit", d::CIRCUIT_ID),
+                    ("count", d::CIRCUIT_COUNT),
+                    ("reason", d::SETUP_REASON),
+                    ("patience", d::SETUP_PATIENCE),
+                ];
+                let told = told.map(|(name, avp)| {
+                    message.number(avp).map_or(String::new(), |number| format!(" {name} {number}"))
+                });
+                let told = told.concat();
+                format!(
+                    "{at:.6} {end:?} {way} node {node}, connection {conn}: {name}{result} {session} ({hop:#x}){told}"
+                )
             }
             Record::Closed { end, conn, .. } => format!("{at:.6} {end:?}: connection {conn} closed"),
             other => format!("{at:.6} {other:?}"),
