Node: callers with next to no patience are answered before their deadline

Cause: a wheel's timer may be a tick (1,024 us) late. The last guard is set half a margin before the deadline, and the door shuts a quarter before it; of a patience under 8 ms the margin is so short that a tick lies past the door, and the answer was withheld.

Change: `Deadline::last_moment` is a tick before the door at the latest; with the usual margins nothing moves. A request that comes with no more time than that is refused at once, without an attempt that would be taken back in the same turn.

--- a/crates/lemoncleat-core/src/deadline.rs
+++ b/crates/lemoncleat-core/src/deadline.rs
@@ -1,5 +1,6 @@
 //! A caller's deadline.
 
+use crate::wheel::TICK;
 use crate::Micros;
 
 /// When a caller gives up, and the moments before it that the node keeps so that its answer arrives in time:
@@ -23,9 +24,10 @@
         self.at - self.margin
     }
 
-    /// When a call without an answer is failed: half the margin before the deadline.
+    /// When a call without an answer is failed: half the margin before the deadline, and early enough that a timer
+    /// that is a tick late still finds the door open.
     pub fn last_moment(self) -> Micros {
-        self.at - self.margin / 2
+        (self.at - self.margin / 2).min(self.door() - TICK)
     }
 
     /// After this no answer leaves: a quarter of the margin before the deadline, for its way to the caller.
@@ -51,6 +53,7 @@
     fn a_patience_shorter_than_the_margin_leaves_half_of_itself() {
         let deadline = Deadline::new(0, 20_000, 30_000);
         assert_eq!((deadline.answer_by(), deadline.door()), (10_000, 17_500));
+        assert_eq!(Deadline::new(10_000, 1_000, 30_000).last_moment() + TICK, 10_875);
         assert_eq!(Deadline::new(5, 0, 30_000).door(), 5, "an answer at once is still one in time");
     }
 }
--- a/crates/lemoncleat-core/src/wheel.rs
+++ b/crates/lemoncleat-core/src/wheel.rs
@@ -10,6 +10,8 @@
 const SLOT_BITS: u32 = 6;
 const SLOTS: usize = 1 << SLOT_BITS;
 const TICK_BITS: u32 = 10;
+/// A timer fires so much late at most.
+pub(crate) const TICK: Micros = 1 << TICK_BITS;
 const NONE: u32 = u32::MAX;
 
 /// Names a timer that was set; it grows stale once the timer fired or was cancelled.
--- a/crates/lemoncleat-node/src/node/calls.rs
+++ b/crates/lemoncleat-node/src/node/calls.rs
@@ -130,6 +130,8 @@
             Some((code::MISSING_AVP, "Called-Station-Id is missing"))
         } else if route.is_none() {
             Some((code::UNABLE_TO_DELIVER, "no route for the number called"))
+        } else if deadline.last_moment() <= self.now {
+            Some((code::UNABLE_TO_DELIVER, "no time is left to set the call up"))
         } else {
             None
         };
--- a/crates/lemoncleat-node/tests/calls.rs
+++ b/crates/lemoncleat-node/tests/calls.rs
@@ -5,7 +5,7 @@
 use common::{aar, aar_builder, entry, session_request, settings, str_of, Bench, Got, MS, SECOND};
 use lemoncleat::Availability;
 use lemoncleat_diameter::dictionary as d;
-use lemoncleat_diameter::{result_code as code, DownReason, GroupBuilder};
+use lemoncleat_diameter::{result_code as code, DownReason, GroupBuilder, MessageBuilder};
 use lemoncleat_node::{Input, ListNews, Notice};
 
 #[test]
@@ -675,3 +675,33 @@
     assert!(bench.names(server).contains(&"STR"), "also at its server");
     assert_eq!(bench.node.stats().standing, 0);
 }
+
+/// Timers are up to a tick of the wheel late: with next to no patience the last guard came after the door was shut.
+#[test]
+fn a_caller_with_next_to_no_patience_is_answered_in_time_whatever_the_phase_of_the_clock() {
+    for (patience, phase) in (1..=9).flat_map(|ms| (0..11).map(move |step| (ms, 100 * step))) {
+        let mut bench = Bench::new(settings());
+        let server = bench.server("a.example");
+        let client = bench.client("front.example");
+        bench.now += phase;
+        let request = MessageBuilder::request(d::CMD_AA, d::APP_NAS, true, 7, 7)
+            .add_str(d::SESSION_ID, "s;1")
+            .add_u32(d::AUTH_APPLICATION_ID, d::APP_NAS)
+            .add_str(d::ORIGIN_HOST, "front.example")
+            .add_str(d::ORIGIN_REALM, "example")
+            .add_str(d::DESTINATION_REALM, "example")
+            .add_u32(d::AUTH_REQUEST_TYPE, 1)
+            .add_str(d::CALLED_STATION_ID, "35101234")
+            .add_u32(d::SETUP_PATIENCE, patience);
+        bench.bytes(client, &request.build());
+        bench.pass(i64::from(patience) * MS);
+        let told = format!("patience {patience} ms, phase {phase} us");
+        assert!(
+            [code::UNABLE_TO_DELIVER, code::TOO_BUSY].contains(&bench.one(client, "AAA").result()),
+            "{told}"
+        );
+        let sent: Vec<&str> = bench.names(server).into_iter().filter(|name| *name != "DWR").collect();
+        assert!(sent.is_empty() || sent == ["AAR", "STR"], "{told}: {sent:?}");
+        assert!(patience > 1 || sent.is_empty(), "{told}: no time for an attempt");
+    }
+}
