Circuits: an earlier reset is not said again behind the one that covers it

A server starts anew; the node resets the whole group (15.513, CSR 0x6814344a, count 39), and 113 ms later resets circuits one by one (15.626, CSR 0x68143453, circuit 0): releases that the dead server had left unanswered and that had become resets before. The first is answered at 15.633 and circuit 0 is idle for the node. The server seizes it (AAR 15.989, accepted 16.018), then reads the old reset, which ends its call without a word; it seizes the circuit anew (AAR 16.127) while the node and its client hold the first call.

Cause: `Group::reset` left resets of the same circuits waiting, to be said again with their own tokens; and a circuit went idle with the answer to the newest, whatever else was still on its way.

Change: a reset takes the place of those that lie within its range, and a circuit is idle only once no reset that covers it waits.

--- a/crates/lemoncleat-circuits/src/group/mod.rs
+++ b/crates/lemoncleat-circuits/src/group/mod.rs
@@ -268,6 +268,15 @@
         Some(pending)
     }
 
+    /// Own resets that wait for their reply.
+    fn resets(&self) -> Vec<(Token, std::ops::Range<CircuitId>)> {
+        let ranges = self.pending.iter().filter_map(|(token, pending)| match pending.request {
+            Request::Reset(range) => Some((*token, range.within(self.settings.size))),
+            _ => None,
+        });
+        ranges.collect()
+    }
+
     /// The state of a circuit changes.
     fn set(&mut self, circuit: CircuitId, state: State) {
         let Some(this) = self.circuits.get_mut(circuit as usize) else { return };
@@ -397,6 +406,12 @@
             self.cut(circuit, out);
             self.set(circuit, State::Resetting);
         }
+        // Said again behind this one, an earlier reset would end calls that began in between.
+        let within =
+            |range: &std::ops::Range<CircuitId>| range.start >= circuits.start && range.end <= circuits.end;
+        for (token, _) in self.resets().into_iter().filter(|(_, range)| within(range)) {
+            self.finish(token);
+        }
         let token = self.send(now, Request::Reset(Range { first, count }), out);
         for circuit in circuits {
             self.circuits[circuit as usize].token = token;
@@ -615,9 +630,12 @@
                 }
             }
             (Request::Reset(range), _) => {
+                // One of another range that waits may come there again: until it is answered, too.
+                let others = self.resets();
                 for circuit in range.within(self.settings.size) {
                     let this = &self.circuits[circuit as usize];
-                    if this.state == State::Resetting && this.token == token {
+                    let waits = || others.iter().any(|(_, other)| other.contains(&circuit));
+                    if this.state == State::Resetting && !waits() {
                         self.set(circuit, State::Idle);
                     }
                 }
--- a/crates/lemoncleat-circuits/tests/group.rs
+++ b/crates/lemoncleat-circuits/tests/group.rs
@@ -298,3 +298,35 @@
     pair.settle();
     assert_eq!(pair.ends[1].free(), 2, "the block outlives the reset");
 }
+
+/// Seen with a server that started anew: releases that it never answered had become resets, circuit by circuit, and
+/// were said again behind the reset of the whole group. One ended a call of the server's that had begun in between,
+/// and only at the server.
+#[test]
+fn an_earlier_reset_is_not_said_again_behind_the_one_that_covers_it() {
+    let mut pair = Pair::new(2);
+    pair.act(0, |group, now, out| group.reset(now, Range::one(0), out));
+    pair.links[1].clear();
+    pair.act(0, |group, now, out| group.restart(now, out));
+    pair.settle();
+    pair.seize(1, 9);
+    pair.settle();
+    let stands = [Some(State::Incoming(9)), Some(State::Outgoing(9))];
+    assert_eq!(pair.states(0), stands);
+    pair.pass(SECOND);
+    pair.settle();
+    assert_eq!(pair.states(0), stands);
+}
+
+#[test]
+fn a_circuit_under_two_resets_is_idle_only_after_both() {
+    let mut pair = Pair::new(2);
+    pair.act(0, |group, now, out| group.restart(now, out));
+    pair.links[1].clear();
+    pair.act(0, |group, now, out| group.reset(now, Range::one(0), out));
+    pair.settle();
+    assert_eq!(pair.states(0)[0], Some(State::Resetting), "the larger one will be said again");
+    pair.pass(SECOND);
+    pair.settle();
+    assert_eq!(pair.states(0), IDLE);
+}
