--- a/crates/lemoncleat-lab/src/world.rs
+++ b/crates/lemoncleat-lab/src/world.rs
@@ -1078,6 +1078,10 @@
             TroubleKind::Surge => self.surge /= trouble.size.max(1e-9),
             TroubleKind::Crash => {
                 for index in affected {
+                    // Another trouble may have put a server in its place, or started it, before.
+                    if self.servers[index].up {
+                        continue;
+                    }
                     self.servers[index].restart(now);
                     self.started(now, index);
                     self.announce(now, index, Listed::Ready);
