Judge: an attempt that crosses a waiting seizure of the controlling server is not out

The server seizes circuit 8, which it controls (AAR 13.326363), toward a node in a stall. The node wakes at 14.587, reads the refusal of its call's last circuit, which lies before that AAR in the backlog, and seizes circuit 8; then it reads the AAR, yields, and seizes circuit 30 at 14.592.

Cause: the judge knew that a server's seizure ends a node's that is out on its circuit, but only met in that order. At the boundary the server's stands first, since it came while the node had no turn. Either way the server disregards the node's seizure, so no two attempts are out (rule 2 is about attempts that may run).

Change: an attempt on a circuit that the server controls, and whose own seizure there is not answered yet, is not out. Seizures of both ends are kept apart by direction. On a circuit that the node controls nothing is excused.

--- a/crates/lemoncleat-lab/tests/judge.rs
+++ b/crates/lemoncleat-lab/tests/judge.rs
@@ -192,6 +192,29 @@
     assert!(first.frames[0].contains("Server(0) from node 0, connection 2: AAR s"), "{:?}", first.frames);
 }
 
+#[test]
+fn rule_2_an_attempt_that_crosses_a_seizure_of_the_controlling_server_is_not_out() {
+    let with = |circuit: u32, offered: bool| {
+        let seizure = |session: &str, hop: u32, circuit: u32| {
+            MessageBuilder::request(d::CMD_AA, d::APP_NAS, true, hop, 70)
+                .add_str(d::SESSION_ID, session)
+                .add_u32(d::CIRCUIT_ID, circuit)
+                .build()
+        };
+        let mut records = good();
+        records.remove(3);
+        records[2] = frame(1, End::Server(0), 2, false, seizure("s", 11, circuit));
+        if offered {
+            let theirs = seizure("server-0.lab;0;1", 11, circuit);
+            records.insert(2, frame(0, End::Server(0), 2, true, theirs));
+        }
+        broken(records)
+    };
+    assert_eq!(with(8, true), []);
+    assert_eq!(with(8, false), [(Rule::OneAttempt, 1)]);
+    assert_eq!(with(9, true), [(Rule::OneAttempt, 1)], "the node controls it: the server yields");
+}
+
 #[test]
 fn rule_3_a_send_after_the_grace_whether_the_list_or_the_server_told() {
     let listed = |at: i64| {
