Judge: of stalls in a row each may be the one that a node reckons from

Stalls 11.994 to 13.118 and 13.134 to 14.259; the request comes at 13.436 with a patience of 2,729 ms. The node had a turn between the stalls and reckons from 13.134, to 15.863, which falls into the stall from 14.897 to 16.021: withheld at its end. The judge took the two for one, reckoned to 14.723 and was not in doubt.

Cause: whether a node had a turn in 16 ms between two stalls the judge can't know. docs/design/gaps.md: a request read after a gap counts as come when that gap began.

Change: a call is in doubt if its deadline, reckoned from the beginning of any stall of the row, is doubtful. One stall alone is judged as before.

Checked: a capture by hand with two stalls in a row fails without the change.

--- a/crates/lemoncleat-lab/src/judge.rs
+++ b/crates/lemoncleat-lab/src/judge.rs
@@ -179,8 +179,9 @@
     chain: usize,
     deadline: Micros,
     /// The deadline as the node must reckon it, where the request came while the node had no turn by the script:
-    /// it can't know when in the stall that was, and goes by its beginning.
-    reckoned: Option<Micros>,
+    /// it can't know when in the stall that was, and goes by its beginning. Of stalls that follow one another at once
+    /// it may have had a turn in between or not: one for each beginning.
+    reckoned: Vec<Micros>,
     /// When it was last asked for.
     asked: Micros,
     node: u16,
@@ -479,7 +480,7 @@
         let told = message.number(d::SETUP_PATIENCE).map(|ms| Micros::from(ms) * 1_000);
         let patience = told.map_or(longest, |told| told.min(longest));
         let deadline = at + patience;
-        let reckoned = self.stall_began(node, at).map(|from| from + patience);
+        let reckoned = self.stalls_began(node, at).into_iter().map(|from| from + patience).collect();
         let session = message.text(d::SESSION_ID).unwrap_or_default().to_owned();
         let caller = message.text(d::CALLING_STATION_ID).unwrap_or(&session).to_owned();
         let next = self.chains.len();
@@ -570,14 +571,14 @@
             .any(|(stalled, from, to)| *stalled == node && at + slack >= *from && at <= to + slack)
     }
 
-    /// When the stall in which a node was at a moment began; stalls that follow one another at once are one.
-    fn stall_began(&self, node: u16, at: Micros) -> Option<Micros> {
+    /// When the stall in which a node was at a moment began, and those before it that it followed at once.
+    fn stalls_began(&self, node: u16, at: Micros) -> Vec<Micros> {
         let slack = self.facts.answer_grace + self.facts.skew;
-        let mut began = None;
+        let mut began = Vec::new();
         for (_, from, to) in self.stalls.iter().rev().filter(|(stalled, ..)| *stalled == node) {
-            let reaches = began.unwrap_or(at);
+            let reaches = began.last().copied().unwrap_or(at);
             if reaches >= *from && reaches <= to + slack {
-                began = Some(*from);
+                began.push(*from);
             }
         }
         began
@@ -874,7 +875,7 @@
             |this: &Try| this.answer.is_none() && this.deadline + self.facts.answer_grace < self.end;
         let unanswered: Vec<usize> = (0..self.tries.len()).filter(|id| without(&self.tries[*id])).collect();
         for id in unanswered {
-            let Try { deadline, reckoned, asked, record, node, left: gone, .. } = self.tries[id];
+            let Try { deadline, ref reckoned, asked, record, node, left: gone, .. } = self.tries[id];
             // Reckoned from a stall's beginning it ended in another one, or was over when it was last asked for.
             let doubtful = |deadline: Micros| {
                 self.stalled(node, deadline) || asked + self.facts.answer_grace >= deadline
@@ -883,7 +884,7 @@
                 left += 1;
             } else if self.stalled(node, deadline) {
                 excused += 1;
-            } else if reckoned.is_some_and(doubtful) {
+            } else if reckoned.iter().copied().any(doubtful) {
                 in_doubt += 1;
             } else {
                 let how = "no answer before the caller's deadline".to_owned();
--- a/crates/lemoncleat-lab/tests/judge.rs
+++ b/crates/lemoncleat-lab/tests/judge.rs
@@ -170,6 +170,9 @@
     let both = verdict(with(&[&first, &second], None));
     assert!(both.kept());
     assert_eq!((both.in_doubt, both.excused), (1, 0));
+    // Another right before the first: the node may have had a turn in between.
+    let before = Record::Stall { at: -1_110 * MS, node: 0, time: 600 * MS };
+    assert_eq!(verdict(with(&[&second, &first, &before], None)).in_doubt, 1);
     assert_eq!(broken(with(&[&first], None)), [(Rule::OneAnswer, 1)], "one stall is no excuse");
     assert_eq!(broken(with(&[&second], None)), [(Rule::OneAnswer, 1)]);
     assert_eq!(
