--- a/crates/lemoncleat-lab/src/far.rs
+++ b/crates/lemoncleat-lab/src/far.rs
@@ -5,7 +5,8 @@
 use lemoncleat_circuits::audit::Audits;
 use lemoncleat_circuits::glare::{after_yield, Control, Next, Repeats};
 use lemoncleat_circuits::{
-    wire, CallRef, CircuitId, Event, Group, GroupSettings, Order, Refusal, Reply, Request, Timers, Token,
+    wire, CallRef, CircuitId, Event, Group, GroupSettings, Order, Refusal, Reply, Request, State, Timers,
+    Token,
 };
 use lemoncleat_diameter::dictionary as d;
 use lemoncleat_diameter::{result_code, HopByHop, MessageBuilder, MessageRef};
@@ -328,9 +329,9 @@
         }
     }
 
-    /// Circuits that are not idle.
-    pub fn in_use(&self) -> u32 {
-        let counts = self.group.counts();
-        counts.size - counts.idle
+    /// Circuits that are not idle, with their states.
+    pub fn busy(&self) -> Vec<(CircuitId, State)> {
+        let all = (0..self.group.settings().size).filter_map(|at| Some((at, self.group.state(at)?)));
+        all.filter(|(_, state)| *state != State::Idle).collect()
     }
 }
--- a/crates/lemoncleat-lab/src/rehearse.rs
+++ b/crates/lemoncleat-lab/src/rehearse.rs
@@ -196,7 +196,7 @@
         let limit = self.now() + SETTLE_WITHIN;
         loop {
             self.turn().await;
-            self.in_use_at_end = self.circuits_in_use();
+            self.in_use_at_end = self.circuits_in_use().len() as u32;
             if self.in_use_at_end == 0 || self.now() > limit {
                 return;
             }
--- a/crates/lemoncleat-lab/src/world.rs
+++ b/crates/lemoncleat-lab/src/world.rs
@@ -404,10 +404,18 @@
         }
     }
 
-    /// Circuits in use at servers that are up.
-    pub fn circuits_in_use(&self) -> u32 {
-        let trunks = self.servers.iter().filter(|server| server.up).flat_map(|server| server.trunks.values());
-        trunks.map(crate::far::FarTrunk::in_use).sum()
+    /// Circuits in use at servers that are up, in words.
+    pub fn circuits_in_use(&self) -> Vec<String> {
+        let up = self.servers.iter().filter(|server| server.up);
+        let trunks =
+            up.flat_map(|server| server.trunks.iter().map(move |(node, trunk)| (server, node, trunk)));
+        let told = |(server, node, trunk): (&Server, &u16, &crate::far::FarTrunk)| {
+            let circuits = trunk.busy().into_iter();
+            let text =
+                |(circuit, state)| format!("{circuit} of {} toward node {node} {state:?}", server.host);
+            circuits.map(text).collect::<Vec<String>>()
+        };
+        trunks.flat_map(told).collect()
     }
 
     /// Calls that stand at servers that are up: which, at which server.
--- a/crates/lemoncleat-simulate/src/simulation.rs
+++ b/crates/lemoncleat-simulate/src/simulation.rs
@@ -290,7 +290,8 @@
             )));
         }
         let circuits = self.world.circuits_in_use();
-        (circuits > 0).then(|| Finding::Left(format!("circuits left: {circuits} in use at servers")))
+        let first = circuits.first()?;
+        Some(Finding::Left(format!("circuits left: {} in use at servers, {first} first", circuits.len())))
     }
 
     /// The next thing that is due; `false` once the world's day is over.
