Laboratory: a stand-in's resets come again within a run

Change: the seldom repeat of the stand-ins is 5 s, as their other waits are shortened for a run. The product's waits stay.

--- a/crates/lemoncleat-lab/src/far.rs
+++ b/crates/lemoncleat-lab/src/far.rs
@@ -57,7 +57,8 @@
             size,
             order: Order::OwnFirst,
             control: Control::by_identity(host, &format!("node-{node}.lab")),
-            timers: Timers { release: 500_000, again: 500_000, ..Timers::default() },
+            // A day and what follows it are shorter than the usual waits.
+            timers: Timers { release: 500_000, again: 500_000, seldom: 5_000_000, ..Timers::default() },
             audits: Some(Audits { round: 4_000_000, ..Audits::default() }),
         };
         FarTrunk {
