Laboratory: a server's hang-up between two connections is not lost

Cause: nothing of a trunk group was done while no connection was open, hang-ups neither.

Change: a hang-up is done at once; its release waits in the group for the next connection, as everything that is unanswered does. Calls are set up, and timers run, only while a connection is open.

--- a/crates/lemoncleat-lab/src/server.rs
+++ b/crates/lemoncleat-lab/src/server.rs
@@ -211,8 +211,7 @@
         for conn in conns {
             self.tell_peer(now, conn, PeerInput::Timeout, out);
         }
-        let mut nodes: Vec<u16> = self.trunks.keys().copied().collect();
-        nodes.sort_unstable();
+        let nodes: Vec<u16> = self.trunks.keys().copied().filter(|node| self.is_linked(*node)).collect();
         for node in nodes {
             self.with_trunk(now, node, out, |trunk, far| trunk.timeout(now, far));
         }
@@ -373,7 +372,13 @@
         self.conns.iter().filter(|(_, state)| open(state)).map(|(conn, _)| *conn).max()
     }
 
-    /// Lets the trunk group toward a node act for this end.
+    /// Whether a connection with a node is open.
+    pub fn is_linked(&self, node: u16) -> bool {
+        self.conn_of(node).is_some()
+    }
+
+    /// Lets the trunk group toward a node act for this end. What it sends without a connection, it sends again on the
+    /// next one.
     pub fn with_trunk(
         &mut self,
         now: Micros,
@@ -381,9 +386,6 @@
         out: &mut Vec<ServerOutput>,
         act: impl FnOnce(&mut FarTrunk, &mut Vec<FarOutput>),
     ) {
-        if self.conn_of(node).is_none() {
-            return;
-        }
         if let Some(trunk) = self.trunks.get_mut(&node) {
             let mut far = Vec::new();
             act(trunk, &mut far);
--- a/crates/lemoncleat-lab/src/world.rs
+++ b/crates/lemoncleat-lab/src/world.rs
@@ -467,9 +467,10 @@
                 }
             }
             Tick::FarCall(server, node) => self.far_call(now, server, node),
-            Tick::FarAgain(server, node, call) => {
+            Tick::FarAgain(server, node, call) if self.servers[server].is_linked(node) => {
                 self.far(now, server, node, |trunk, far| trunk.seize_again(now, call, far));
             }
+            Tick::FarAgain(..) => {}
             Tick::FarHangUp(server, node, call) => {
                 self.far(now, server, node, |trunk, far| trunk.hang_up(now, call, far));
             }
@@ -722,7 +723,9 @@
             return;
         }
         let index = self.in_place[place];
-        self.far(now, index, node, |trunk, far| trunk.call(now, None, far));
+        if self.servers[index].is_linked(node) {
+            self.far(now, index, node, |trunk, far| trunk.call(now, None, far));
+        }
         let gap = -self.rng.random::<f64>().max(1e-12).ln() * 1e6 / rate;
         self.at(now + gap as Micros, Tick::FarCall(place, node));
     }
