The fleet's core over the platform's notes, off unless it is switched on

Need: the members' core serves both carriers; on the platform notes of 256 bytes are the only way between nodes.

Change: `AccessNode::join_fleet`, asked for by LEMONCLEAT_FLEET=yes where the settings allow notes. Members are the platform's peers by number; a note of the fleet begins with a tag in the place of its sender's digest, which the address tells, and never reaches the module; its turn comes after all that calls want, with at most 16 notes.

Not run: the real program with it on.

--- a/crates/lemoncleat-access/src/interface.rs
+++ b/crates/lemoncleat-access/src/interface.rs
@@ -93,4 +93,6 @@
     pub bad_servers: u64,
     /// Calls that the guard at the deadline had to answer; 0 unless something is wrong.
     pub overdue: u64,
+    /// Notes of other nodes that the module was told.
+    pub notes: u64,
 }
--- a/crates/lemoncleat-access/src/lib.rs
+++ b/crates/lemoncleat-access/src/lib.rs
@@ -10,6 +10,7 @@
 mod calls;
 mod description;
 mod door;
+mod fleet;
 mod interface;
 mod invite;
 mod journal;
--- a/crates/lemoncleat-access/src/node.rs
+++ b/crates/lemoncleat-access/src/node.rs
@@ -8,6 +8,7 @@
 
 use crate::callers::Callers;
 use crate::calls::{Call, Standing};
+use crate::fleet::Joined;
 use crate::interface::{ConnId, Input, Output, Stats};
 use crate::journal::Journal;
 use crate::notes::Notes;
@@ -63,6 +64,10 @@
     pub(crate) servers: Servers,
     pub(crate) journal: Journal,
     pub(crate) notes: Notes,
+    /// Its number among the nodes of the tier.
+    pub(crate) own_number: u32,
+    pub(crate) seed: u64,
+    pub(crate) fleet: Option<Box<Joined>>,
     /// Whether single calls are told of.
     pub(crate) tracing: bool,
     /// Ends of attempts that the module hears of after their caller's leaving.
@@ -89,7 +94,7 @@
         let longest_deadline = site.module.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
         let notes = Notes::new(&site.module, config.peers, config.peers_all);
         let sockets = config.limits.sockets as usize;
-        let (nodes, seed) = (site.module.balancers, config.seed);
+        let (nodes, own_number, seed) = (site.module.balancers, site.module.own_number, config.seed);
         let servers = Servers::new(sockets, site.dial_timeout, &site.zones, nodes, seed);
         let memory = config.limits.memory_mb as usize * (1 << 20) / MEMORY_FOR_CALLS / MEMORY_OF_CALL;
         let held = if site.most_held > 0 { site.most_held as usize } else { usize::MAX };
@@ -110,6 +115,9 @@
             servers,
             journal: Journal::new(config.journal, config.known_to),
             notes,
+            own_number,
+            seed,
+            fleet: None,
             tracing: false,
             closing: Vec::new(),
             events: VecDeque::new(),
@@ -167,6 +175,9 @@
             Input::Terminate => self.terminate(),
         }
         self.settle();
+        if matches!(input, Input::Timeout) {
+            self.fleet_turn();
+        }
         outputs.append(&mut self.out);
     }
 
@@ -177,7 +188,7 @@
 
     /// When to call with [`Input::Timeout`] next.
     pub fn wake(&self) -> Option<Micros> {
-        self.wheel.wake()
+        self.wheel.wake().into_iter().chain(self.fleet_wake()).min()
     }
 
     /// What was done so far.
--- a/crates/lemoncleat-access/src/notes.rs
+++ b/crates/lemoncleat-access/src/notes.rs
@@ -5,6 +5,7 @@
 
 use lemoncleat::{Event, Settings};
 
+use crate::fleet::TAG;
 use crate::interface::Output;
 use crate::node::AccessNode;
 
@@ -24,23 +25,43 @@
         let numbers = peers.iter().zip(0..).map(|(&peer, number)| (peer, number)).collect();
         Notes { allowed: settings.may_tell, peers, numbers, all }
     }
+
+    pub(crate) fn allowed(&self) -> bool {
+        self.allowed
+    }
+
+    /// How many nodes there are.
+    pub(crate) fn peers(&self) -> usize {
+        self.peers.len()
+    }
+
+    pub(crate) fn address(&self, number: u32) -> Option<SocketAddr> {
+        self.peers.get(number as usize).copied()
+    }
 }
 
 impl AccessNode {
-    /// A note that came; those of unknown senders are dropped.
+    /// A note that came; those of unknown senders are dropped. One of the fleet is never the module's, whether or
+    /// not this node has joined.
     pub(crate) fn note(&mut self, from: SocketAddr, bytes: &[u8]) {
         let sender = self.notes.numbers.get(&from).copied();
         if let (Some(from), true) = (sender, self.notes.allowed && bytes.len() <= LONGEST) {
-            self.tell(Event::Note { from, bytes: bytes.to_vec() });
+            if bytes.first() == Some(&TAG) {
+                self.fleet_note(from, bytes);
+            } else {
+                self.stats.notes += 1;
+                self.tell(Event::Note { from, bytes: bytes.to_vec() });
+            }
         }
     }
 
     pub(crate) fn send_note(&mut self, to: Option<u32>, bytes: Vec<u8>) {
         let address = match to {
-            Some(number) => self.notes.peers.get(number as usize).copied(),
+            Some(number) => self.notes.address(number),
             None => self.notes.all,
         };
-        if let (Some(address), true) = (address, self.notes.allowed && bytes.len() <= LONGEST) {
+        let fits = bytes.len() <= LONGEST && bytes.first() != Some(&TAG);
+        if let (Some(address), true) = (address, self.notes.allowed && fits) {
             self.out.push(Output::Tell(address, bytes));
         }
     }
--- a/crates/lemoncleat-cli/src/access.rs
+++ b/crates/lemoncleat-cli/src/access.rs
@@ -16,6 +16,7 @@
 const LISTEN: &str = "BALANCER_LISTEN";
 const NAME: &str = "BALANCER_NAME";
 const LOG: &str = "LEMONCLEAT_LOG";
+const FLEET: &str = "LEMONCLEAT_FLEET";
 
 fn variable(name: &str) -> Option<String> {
     std::env::var(name).ok().filter(|value| !value.is_empty())
@@ -37,13 +38,18 @@
     let level = variable(LOG).unwrap_or_else(|| "info".to_owned());
     init_log(LogTo::Output, LogFormat::Text, &level)
         .map_err(|error| Failure::Usage(format!("{LOG}: {error}")))?;
+    let fleet = match variable(FLEET).as_deref() {
+        None | Some("no") => false,
+        Some("yes") => true,
+        Some(other) => return Err(Failure::Usage(format!("{FLEET}: expected yes or no, got {other:?}"))),
+    };
     // Heeded from before anybody is told that the node is there.
     let heeded = signals::heed()?;
     let address = config.listen;
     let listener =
         listen_for_callers(address).map_err(|error| Failure::Failed(format!("{address}: {error}")))?;
     let bound = listener.local_addr().map_err(Failure::failed)?;
-    let settings = AccessSettings { config, file, trace: level.contains("debug") };
+    let settings = AccessSettings { config, file, trace: level.contains("debug"), fleet };
     let stats = serve_access(settings, listener, |mailbox| {
         println!("listening on {bound}");
         signals::pass_on(heeded, mailbox, |signal| match signal {
--- a/crates/lemoncleat-service/src/access.rs
+++ b/crates/lemoncleat-service/src/access.rs
@@ -49,6 +49,8 @@
     pub file: PathBuf,
     /// Tell of every step of every call.
     pub trace: bool,
+    /// Join the fleet of the other nodes, where the platform's settings allow notes.
+    pub fleet: bool,
 }
 
 /// Runs an access node on the present thread until it was stopped. `ready` is called once callers are accepted.
@@ -69,6 +71,9 @@
     if settings.trace {
         node.trace_calls();
     }
+    if settings.fleet {
+        node.join_fleet();
+    }
     run_bounded(BOUNDS, async move |mut net: Net<AccessControl>| {
         net.listen(listener, 0)?;
         let notes = match peers {
