--- a/crates/lemoncleat/src/decide.rs
+++ b/crates/lemoncleat/src/decide.rs
@@ -6,12 +6,12 @@
 //! then refusal. What follows is the estimate of a server's wait, the guards of the five rules, and
 //! what happens to calls whose attempt failed.
 
-use std::cell::OnceCell;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::interface::*;
 use crate::random::Random;
+use crate::state::Cache;
 
 /// Cost of a route over a second choice, in worths of the cheapest class: a small handicap.
 const SECOND_COST: f64 = 0.03;
@@ -72,7 +72,7 @@
 const TICK: u64 = 1;
 
 /// A share of bad outcomes that ages.
-#[derive(Clone, Copy, Default)]
+#[derive(Clone, Copy, Default, Serialize, Deserialize)]
 struct Share {
     bad: f64,
     all: f64,
@@ -98,7 +98,7 @@
 }
 
 /// A server's condition, as the log tells it.
-#[derive(Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 enum Health {
     #[default]
     Well,
@@ -107,7 +107,7 @@
 }
 
 /// What this node knows of one server.
-#[derive(Default)]
+#[derive(Clone, Default, Serialize, Deserialize)]
 struct Server {
     ready: bool,
     /// Since when it is no longer on the list.
@@ -260,14 +260,14 @@
 }
 
 /// An attempt on its way.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Serialize, Deserialize)]
 struct Out {
     server: ServerId,
     sent: Micros,
 }
 
 /// A call that is owed an answer.
-#[derive(Default)]
+#[derive(Clone, Default, Serialize, Deserialize)]
 struct Pending {
     call: Call,
     arrived: Micros,
@@ -285,7 +285,7 @@
 }
 
 /// The usual patience of first tries in a class, found by majority vote.
-#[derive(Clone, Copy, Default)]
+#[derive(Clone, Copy, Default, Serialize, Deserialize)]
 struct Usual {
     patience: Micros,
     votes: u32,
@@ -305,6 +305,7 @@
 }
 
 /// What servers do at least, put together from all that is known of them.
+#[derive(Clone, Serialize, Deserialize)]
 struct Rates {
     /// For each place the most that was done there, and the least number of lines.
     places: BTreeMap<i64, (f64, f64)>,
@@ -332,13 +333,14 @@
 }
 
 /// The decisions of one access node.
+#[derive(Clone, Serialize, Deserialize)]
 pub struct Controller {
     settings: Settings,
     servers: BTreeMap<ServerId, Server>,
     /// The most that servers which were forgotten did at each place: their successors can do as much.
     past: BTreeMap<i64, f64>,
     /// Emptied whenever something it was put together from changes.
-    rates: OnceCell<Rates>,
+    rates: Cache<Rates>,
     calls: BTreeMap<CallId, Pending>,
     /// Calls waiting to be sent, dearest first, then oldest.
     waiting: BTreeSet<(Reverse<u64>, Micros, CallId)>,
@@ -378,7 +380,7 @@
             settings,
             servers: BTreeMap::new(),
             past: BTreeMap::new(),
-            rates: OnceCell::new(),
+            rates: Cache::new(),
             calls: BTreeMap::new(),
             waiting: BTreeSet::new(),
             random: Random::new(seed),
@@ -714,11 +716,7 @@
         if call.patience > usual.patience + usual.patience / SPREAD {
             return (class.deadline - call.patience).max(0);
         }
-        if call.redialled {
-            class.aim
-        } else {
-            0
-        }
+        Micros::from(call.redialled) * class.aim
     }
 
     fn ended(&mut self, id: CallId, attempt: u32, how: Outcome, why: Reason, actions: &mut Vec<Action>) {
@@ -852,7 +850,7 @@
         if !self.settings.may_cancel {
             return;
         }
-        let (mut cancelled, faces) = (Vec::new(), OnceCell::new());
+        let (mut cancelled, faces) = (Vec::new(), Cache::new());
         for (&id, pending) in &self.calls {
             let Some(out) = pending.out else { continue };
             let Some(server) = self.servers.get(&out.server) else { continue };
--- a/crates/lemoncleat/src/interface.rs
+++ b/crates/lemoncleat/src/interface.rs
@@ -2,19 +2,21 @@
 //!
 //! Times are integer microseconds on the caller's clock. Nothing here decides anything.
 
+pub(crate) use serde::{Deserialize, Serialize};
+
 /// A span or a moment in microseconds.
 pub type Micros = i64;
 
 /// A call, as named by the host of the controller. Never reused within one controller's life.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize)]
 pub struct CallId(pub u64);
 
 /// A call server, as named by the host of the controller. It stays the same over restarts.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct ServerId(pub u32);
 
 /// What repeating a call of a class may do.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Default)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub enum Effect {
     /// It may be repeated and refused at will.
     #[default]
@@ -26,7 +28,7 @@
 }
 
 /// Which servers discard repeats of one call of a [`Effect::Dedup`] class.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Default)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub enum DedupGroup {
     /// All servers.
     #[default]
@@ -38,7 +40,7 @@
 }
 
 /// A class of calls.
-#[derive(Clone, Debug, PartialEq, Default)]
+#[derive(Clone, Debug, PartialEq, Default, Serialize, Deserialize)]
 pub struct Class {
     /// A call that stands within this time earns its full worth.
     pub aim: Micros,
@@ -61,7 +63,7 @@
 }
 
 /// How the list of servers reaches the node.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Default)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub enum Membership {
     /// Changes come unasked.
     #[default]
@@ -71,7 +73,7 @@
 }
 
 /// What is known when a controller starts.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Settings {
     /// The classes of calls; a [`Call`] names one by its index.
     pub classes: Vec<Class>,
@@ -173,7 +175,7 @@
 }
 
 /// Whether a listed server takes work.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Availability {
     /// It takes calls.
     Ready,
@@ -184,7 +186,7 @@
 }
 
 /// One line of the list of servers.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Member {
     /// Which server.
     pub server: ServerId,
@@ -201,7 +203,7 @@
 }
 
 /// What a piece of news about the list holds.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum MemberNews {
     /// Only what changed.
     Changes(Vec<Member>),
@@ -212,7 +214,7 @@
 }
 
 /// A load report of a server; every figure may be missing.
-#[derive(Clone, Copy, Debug, PartialEq, Default)]
+#[derive(Clone, Copy, Debug, PartialEq, Default, Serialize, Deserialize)]
 pub struct Report {
     /// Free circuits or lines toward the server.
     pub free: Option<f64>,
@@ -233,7 +235,7 @@
 }
 
 /// Why a set-up did not come about, as far as the server said.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Default)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub enum Reason {
     /// Nothing was said.
     #[default]
@@ -255,7 +257,7 @@
 }
 
 /// How an attempt ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
     /// The call stood and has ended.
     Ok,
@@ -276,7 +278,7 @@
 }
 
 /// A new call.
-#[derive(Clone, Debug, PartialEq, Default)]
+#[derive(Clone, Debug, PartialEq, Default, Serialize, Deserialize)]
 pub struct Call {
     /// Its name.
     pub id: CallId,
@@ -299,7 +301,7 @@
 }
 
 /// What a controller is told.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Event {
     /// News about the list of servers.
     Members(MemberNews),
@@ -360,7 +362,7 @@
 }
 
 /// How much a controller holds.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Sizes {
     /// Servers, those not yet forgotten included.
     pub servers: usize,
@@ -371,7 +373,7 @@
 }
 
 /// What a controller takes a server to be like.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct View {
     /// Free circuits or lines, own set-ups since the last news taken off.
     pub free: Option<f64>,
@@ -386,7 +388,7 @@
 }
 
 /// What a controller asks for. Actions take effect in order, at the moment of the event.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Action {
     /// Start a set-up of the call at the server.
     Send {
--- a/crates/lemoncleat/src/lib.rs
+++ b/crates/lemoncleat/src/lib.rs
@@ -32,6 +32,7 @@
 mod decide;
 mod interface;
 mod random;
+mod state;
 
 /// The examples of the README, kept true by the tests.
 #[cfg(doctest)]
@@ -43,3 +44,4 @@
     Action, Availability, Call, CallId, Class, DedupGroup, Effect, Event, Member, MemberNews, Membership,
     Micros, Outcome, Reason, Report, ServerId, Settings, SettingsError, Sizes, View,
 };
+pub use state::SOURCES;
--- a/crates/lemoncleat/src/random.rs
+++ b/crates/lemoncleat/src/random.rs
@@ -1,6 +1,9 @@
 //! Seeded numbers (SplitMix64).
 
+use serde::{Deserialize, Serialize};
+
 /// A sequence of numbers of its own for each seed.
+#[derive(Clone, Serialize, Deserialize)]
 pub(crate) struct Random(u64);
 
 const STEP: u64 = 0x9e37_79b9_7f4a_7c15;
