Nodes of a fleet check that they decide alike, tell versions, and may fence themselves

Need: the checker has to run beside calls, never before them.

Change: the version stands in the log, in `check` and among the fleet's facts; two versions in one fleet are told, with how long. Cases are played one at a time where nothing else waits, 1 % of the processor by default. `(fleet (rules (fence yes)))` lets a node that most others find to decide otherwise refuse new calls at once with 3004 and a time to come back; off by default, and a node without it is as it was.

Not there: windows of real work, a fence shown in real processes.

--- a/crates/lemoncleat-cli/src/node.rs
+++ b/crates/lemoncleat-cli/src/node.rs
@@ -27,6 +27,7 @@
         node.plan.len(),
         node.clients.len()
     );
+    println!("rules {}", config.service.rules.version());
     Ok(())
 }
 
--- a/crates/lemoncleat-commons/src/lib.rs
+++ b/crates/lemoncleat-commons/src/lib.rs
@@ -5,10 +5,12 @@
 
 mod part;
 mod pieces;
+mod rules;
 mod seat;
 mod state;
 
 pub use part::{Figures, Part, Said, Settings};
+pub use rules::RulesCheck;
 pub use seat::Seat;
 
 /// A span or a moment in microseconds.
--- a/crates/lemoncleat-commons/src/part.rs
+++ b/crates/lemoncleat-commons/src/part.rs
@@ -4,11 +4,13 @@
 use std::sync::Arc;
 
 use lemoncleat_agreement::Batch;
+use lemoncleat_consistency::{self as consistency, Decider};
 use lemoncleat_fleet::{Carrier, Fleet, Input, Kind, Member, MemberId, Notice, Output, State, Timing};
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
 
-use crate::pieces::Pieces;
+use crate::pieces::{Errand, Pieces};
+use crate::rules::{RulesCheck, Watch};
 use crate::seat::{Agreed, Ask, Seat};
 use crate::Micros;
 
@@ -18,6 +20,8 @@
 const FIGURES: Kind = Kind(1);
 const FIGURES_EVERY: Micros = 5_000_000;
 const FIGURES_LIFE: Micros = 20_000_000;
+/// What a node tells of its rules.
+const RULES: Kind = Kind(2);
 /// The shortest tick of the agreement: a store has to be written within a few.
 const LEAST_TICK: Micros = 10_000;
 
@@ -65,6 +69,8 @@
     Store(Batch),
     /// Answer the operator on this connection.
     Answer(u64, Value),
+    /// Refuse new calls from now on, with this time to come back in microseconds; or take them again.
+    Fence(Option<Micros>),
     /// For the log: whether it is bad news, and what.
     Log(bool, String),
 }
@@ -77,11 +83,14 @@
     names: Names,
     pieces: Pieces,
     agreed: Option<Agreed>,
+    watch: Option<Watch>,
+    start: u32,
     /// The figures told last, and when they are told again though they are the same.
     told: Option<(Figures, Micros)>,
     tell_at: Micros,
     outputs: Vec<Output>,
     asks: Vec<Ask>,
+    judged: Vec<consistency::Output>,
 }
 
 impl Part {
@@ -120,17 +129,51 @@
             ids,
             pieces: Pieces::default(),
             agreed,
+            watch: None,
+            start,
             told: None,
             tell_at: 0,
             outputs: Vec::new(),
             asks,
+            judged: Vec::new(),
         })
     }
 
+    /// Watches from now on that all members of the same rules decide alike. `D` is what decides at this node.
+    pub fn watch<D: Decider + 'static>(&mut self, now: Micros, check: RulesCheck, said: &mut Vec<Said>) {
+        let members = self.ids.iter().map(|id| id.0).collect();
+        let mut watch = Watch::new::<D>(self.fleet.own().0, self.start, members, &check);
+        watch.handle(now, consistency::Input::Rules(check.rules), &mut self.judged);
+        self.watch = Some(watch);
+        self.settle(now, said);
+    }
+
+    /// From when on it has work that nobody waits for; none while there is none.
+    pub fn work_at(&self) -> Option<Micros> {
+        self.watch.as_ref()?.work_at()
+    }
+
+    /// Does a piece of that work: a few milliseconds at the most, for a moment in which no call waits. How long it
+    /// took is to be told by [`Part::worked`].
+    pub fn work(&mut self, now: Micros, said: &mut Vec<Said>) {
+        if let Some(watch) = &mut self.watch {
+            watch.work(now, &mut self.judged);
+        }
+        self.settle(now, said);
+    }
+
+    /// The work that ended now took so long: no more of it until its share of the time allows.
+    pub fn worked(&mut self, now: Micros, spent: Micros) {
+        if let Some(watch) = &mut self.watch {
+            watch.worked(now, spent);
+        }
+    }
+
     /// When it wants a turn at the latest.
     pub fn wake(&self) -> Option<Micros> {
         let agreed = self.agreed.as_ref().and_then(Agreed::wake);
-        self.fleet.wake().into_iter().chain(agreed).chain([self.tell_at]).min()
+        let watch = self.watch.as_ref().and_then(Watch::wake);
+        self.fleet.wake().into_iter().chain(agreed).chain(watch).chain([self.tell_at]).min()
     }
 
     /// Time has passed, and this is what the node has done so far.
@@ -149,6 +192,9 @@
         if let Some(agreed) = &mut self.agreed {
             agreed.timeout(now, &mut self.asks);
         }
+        if self.watch.as_ref().and_then(Watch::wake).is_some_and(|wake| wake <= now) {
+            self.tell_watch(now, consistency::Input::Timeout);
+        }
         self.settle(now, said);
     }
 
@@ -179,13 +225,44 @@
     }
 
     fn settle(&mut self, now: Micros, said: &mut Vec<Said>) {
-        while !self.outputs.is_empty() || !self.asks.is_empty() {
+        while !self.outputs.is_empty() || !self.asks.is_empty() || !self.judged.is_empty() {
             for output in std::mem::take(&mut self.outputs) {
                 self.output(now, output, said);
             }
             for ask in std::mem::take(&mut self.asks) {
                 self.ask(now, ask, said);
             }
+            for judged in std::mem::take(&mut self.judged) {
+                self.judge(now, judged, said);
+            }
+        }
+    }
+
+    fn tell_watch(&mut self, now: Micros, input: consistency::Input) {
+        if let Some(watch) = &mut self.watch {
+            // One that is only suspected may well decide.
+            let there = self.fleet.members().filter(|(_, _, state, _)| *state != State::Gone);
+            let alive = consistency::Input::Alive(there.map(|(id, ..)| id.0).collect());
+            watch.handle(now, alive, &mut self.judged);
+            watch.handle(now, input, &mut self.judged);
+        }
+    }
+
+    /// Carries out what the check of the rules says.
+    fn judge(&mut self, now: Micros, output: consistency::Output, said: &mut Vec<Said>) {
+        match output {
+            consistency::Output::Publish(bytes) => {
+                self.fleet.handle(now, Input::Publish { kind: RULES, bytes }, &mut self.outputs);
+            }
+            consistency::Output::Direct { to, bytes } => {
+                self.asks.push(Ask::Say(MemberId(to), Errand::Rules(bytes)));
+            }
+            consistency::Output::Fence(come_back) => said.push(Said::Fence(come_back)),
+            consistency::Output::Notice(notice) => {
+                said.extend(crate::rules::told(&self.names, &notice).map(|(bad, text)| Said::Log(bad, text)));
+            }
+            // Played by the watch itself; and nobody seals windows yet.
+            consistency::Output::Cases | consistency::Output::Play { .. } => {}
         }
     }
 
@@ -196,8 +273,10 @@
             Output::Meet(id) => said.extend(place(id).map(Said::Meet)),
             Output::Part(id) => said.extend(place(id).map(Said::Part)),
             Output::Direct { from, bytes } => {
-                if let (Some(errand), Some(agreed)) = (self.pieces.join(from, &bytes), &mut self.agreed) {
-                    agreed.errand(now, from, errand, &mut self.asks);
+                match (self.pieces.join(from, &bytes), &mut self.agreed, &mut self.watch) {
+                    (Some(Errand::Rules(bytes)), _, Some(watch)) => watch.direct(from, bytes),
+                    (Some(errand), Some(agreed), _) => agreed.errand(now, from, errand, &mut self.asks),
+                    _ => {}
                 }
             }
             Output::State { member, state, .. } => {
@@ -207,6 +286,12 @@
                     State::Suspect => Said::Log(false, format!("{member} is suspected")),
                     State::Gone => Said::Log(true, format!("{member} is gone, {alive} of {of} are there")),
                 });
+                self.tell_watch(now, consistency::Input::Timeout);
+            }
+            Output::Fact(fact) if fact.kind == RULES => {
+                let incarnation = u64::from(lemoncleat_fleet::start_of(fact.incarnation));
+                let (from, age, bytes) = (fact.origin.0, fact.age, fact.bytes);
+                self.tell_watch(now, consistency::Input::Heard { from, incarnation, age, bytes });
             }
             Output::Notice(notice) => said.push(self.told(notice)),
             // Read when they are needed.
@@ -257,6 +342,9 @@
             .facts(now, FIGURES)
             .filter_map(|fact| Some((fact.origin, (fact.age, postcard::from_bytes(&fact.bytes).ok()?))))
             .collect();
+        let rules = self.fleet.facts(now, RULES);
+        let rules: BTreeMap<MemberId, _> =
+            rules.filter_map(|fact| Some((fact.origin, consistency::told(&fact.bytes)?))).collect();
         let members: Vec<Value> = self
             .fleet
             .members()
@@ -269,6 +357,10 @@
                 let start = lemoncleat_fleet::start_of(incarnation);
                 let mut told =
                     json!({"host": &*member.name, "zone": &*member.zone, "state": state, "start": start});
+                if let Some((version, root)) = rules.get(&id) {
+                    told["rules"] = version.to_string().into();
+                    told["decides"] = root.map(|root| root.to_string()).into();
+                }
                 if let Some((age, figures)) = figures.get(&id) {
                     told["age_ms"] = (age / 1_000).into();
                     told["standing"] = figures.standing.into();
--- a/crates/lemoncleat-commons/src/pieces.rs
+++ b/crates/lemoncleat-commons/src/pieces.rs
@@ -20,6 +20,8 @@
     Propose(Vec<u8>),
     /// A part of an errand: which, of how many, and its bytes.
     Piece { errand: u32, part: u16, of: u16, bytes: Vec<u8> },
+    /// Between the checkers of the members' rules.
+    Rules(Vec<u8>),
 }
 
 /// Takes errands apart and puts them together.
--- a/crates/lemoncleat-commons/src/seat.rs
+++ b/crates/lemoncleat-commons/src/seat.rs
@@ -155,7 +155,7 @@
                     self.input(now, Input::Propose { token: 0, command }, out);
                 }
             }
-            Errand::Piece { .. } => {}
+            Errand::Piece { .. } | Errand::Rules(_) => {}
         }
     }
 
--- a/crates/lemoncleat-node/src/node/calls.rs
+++ b/crates/lemoncleat-node/src/node/calls.rs
@@ -120,6 +120,8 @@
         let session = message.text(d::SESSION_ID).unwrap_or_default();
         let trouble = if self.stopping {
             Some((code::TOO_BUSY, "this node is stopping"))
+        } else if let Some(text) = self.fenced() {
+            Some((code::TOO_BUSY, text))
         } else if self.calls.len() >= self.settings.max_calls {
             let host = self.host(client);
             self.notice(Notice::CallsFull(host));
@@ -140,7 +142,7 @@
                 trouble.unwrap_or((code::UNABLE_TO_DELIVER, "no route for the number called"));
             self.stats.turned_away += 1;
             let answer = self.local.sign(MessageBuilder::answer(message, result));
-            let answer = answer.add_str(d::ERROR_MESSAGE, text).build();
+            let answer = self.told_to_return(text, answer.add_str(d::ERROR_MESSAGE, text)).build();
             self.duplicates.answer(self.now, &request, &answer);
             self.answer_set_up(conn, Some(deadline), answer);
             return;
--- a/crates/lemoncleat-node/src/node/mod.rs
+++ b/crates/lemoncleat-node/src/node/mod.rs
@@ -3,6 +3,7 @@
 mod calls;
 mod door;
 mod gap;
+mod guard;
 mod members;
 mod peers;
 mod stopping;
@@ -76,6 +77,9 @@
     Part(usize),
     /// Say something to a member, in at most [`WORD_MOST`] bytes: sent at once, or dropped and counted.
     Word(usize, &'a [u8]),
+    /// Refuse new calls of clients from now on, with this time to come back; or take them again. Standing calls
+    /// and set-ups under way live on.
+    Fence(Option<Micros>),
     /// Stop in order.
     Stop,
 }
@@ -125,7 +129,7 @@
     pub late: u64,
     /// Repeats of a request that were recognised.
     pub repeats: u64,
-    /// Requests refused as faulty or beyond a limit.
+    /// Requests refused as faulty, beyond a limit, or by a fence.
     pub turned_away: u64,
     /// Calls that the node's own last guard had to fail.
     pub last_moment: u64,
@@ -228,6 +232,8 @@
     deferred: VecDeque<gap::Deferred>,
     actions: Vec<Action>,
     standing: usize,
+    /// New calls are refused, with this time to come back.
+    fence: Option<Micros>,
     stopping: bool,
     stopped: bool,
     stats: Stats,
@@ -277,6 +283,7 @@
             deferred: VecDeque::new(),
             actions: Vec::new(),
             standing: 0,
+            fence: None,
             stopping: false,
             stopped: false,
             stats: Stats::default(),
@@ -351,6 +358,7 @@
             Input::Meet(member) => self.meet(member),
             Input::Part(member) => self.part(member),
             Input::Word(member, bytes) => self.word(member, bytes),
+            Input::Fence(come_back) => self.fence = come_back,
             Input::Stop => self.stop(),
         }
         self.settle();
--- a/crates/lemoncleat-service/src/config.rs
+++ b/crates/lemoncleat-service/src/config.rs
@@ -6,6 +6,7 @@
 
 use lemoncleat::{Availability, Class, DedupGroup, Effect, Membership, Settings};
 use lemoncleat_certificates::{ChallengeKind, External, KeeperSettings, KeyKind, Policy};
+use lemoncleat_consistency::{PlanEntry, Rules};
 use lemoncleat_net::{MinVersion, TlsFiles};
 use lemoncleat_node::circuits::audit::Audits;
 use lemoncleat_node::circuits::{Order, Timers};
@@ -587,6 +588,7 @@
         }
         let module = self.module()?;
         let mut plan = NumberingPlan::new();
+        let mut entries = Vec::new();
         for (index, prefix) in self.plan.iter().enumerate() {
             let path = |field: &str| format!("plan[{index}].{field}");
             let Some(class) = self.classes.iter().position(|class| class.name == prefix.class) else {
@@ -596,10 +598,12 @@
             };
             let route = Route { class, place: prefix.place };
             plan.add(&prefix.digits, route).or_else(|error| bad(&path("digits"), error.to_string()))?;
+            entries.push(PlanEntry { prefix: prefix.digits.clone(), class, pool: prefix.place });
         }
         if plan.is_empty() {
             return bad("plan", "no prefix, expected at least one");
         }
+        let rules = Rules { settings: module.clone(), plan: entries };
         let mut node = NodeSettings::new(&self.host, &self.realm, module, plan);
         node.addresses = self.listen.iter().map(|address| address.ip()).collect();
         node.addresses.dedup();
@@ -643,6 +647,7 @@
             tls: self.tls.map(|tls| tls.settings(&self.host)).transpose()?,
             control: self.control,
             seed: self.seed,
+            rules,
             fleet,
         };
         let format = match self.log.format {
--- a/crates/lemoncleat-service/src/fleet.rs
+++ b/crates/lemoncleat-service/src/fleet.rs
@@ -4,11 +4,14 @@
 use std::hash::{BuildHasher, Hasher};
 use std::path::Path;
 
+use lemoncleat::Controller;
 use lemoncleat_agreement::{Store, Writer};
-use lemoncleat_commons::{Figures, Part, Seat, Settings};
+use lemoncleat_commons::{Figures, Part, RulesCheck, Said, Seat, Settings};
+use lemoncleat_consistency::{Limits, Rules};
 use lemoncleat_fleet::Member;
 use lemoncleat_node::Stats;
 
+use crate::fleet_settings::RulesSettings;
 use crate::FleetSettings;
 
 /// The name of a voter's file in its directory.
@@ -62,6 +65,13 @@
         Ok(FleetDriver { part, writer })
     }
 
+    /// Watches that all members of these rules decide alike.
+    pub(crate) fn watch(&mut self, rules: Rules, settings: &RulesSettings, said: &mut Vec<Said>) {
+        let limits = Limits { fences: settings.fence, share: settings.share, ..Limits::default() };
+        let check = RulesCheck { rules, limits, processor: settings.processor };
+        self.part.watch::<Controller>(0, check, said);
+    }
+
     /// Gives a batch to the thread; false if there is none that takes it.
     pub(crate) fn store(&self, batch: lemoncleat_agreement::Batch) -> bool {
         self.writer.as_ref().is_some_and(|writer| writer.write(batch))
--- a/crates/lemoncleat-service/src/fleet_settings.rs
+++ b/crates/lemoncleat-service/src/fleet_settings.rs
@@ -29,6 +29,19 @@
     pub store: Option<PathBuf>,
     /// How often the node talks to others, in microseconds.
     pub round: Micros,
+    /// How it is watched that all decide alike.
+    pub rules: RulesSettings,
+}
+
+/// How it is watched that members of the same rules decide alike.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RulesSettings {
+    /// Whether a node that most others find to decide otherwise refuses new calls.
+    pub fence: bool,
+    /// Most of the members that may do so at once, in hundredths.
+    pub share: u32,
+    /// The share of the processor that the check may take, in thousandths.
+    pub processor: u32,
 }
 
 /// A node of a fleet.
@@ -54,6 +67,40 @@
     store: Option<PathBuf>,
     #[serde(default = "round")]
     round: Span,
+    #[serde(default)]
+    rules: RulesFile,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case", default)]
+struct RulesFile {
+    fence: bool,
+    share: f64,
+    processor: f64,
+}
+
+impl Default for RulesFile {
+    fn default() -> Self {
+        RulesFile { fence: false, share: 0.2, processor: 0.01 }
+    }
+}
+
+impl RulesFile {
+    fn settings(&self, members: usize) -> Result<RulesSettings, Error> {
+        if !(0.0..=0.5).contains(&self.share) {
+            return bad("fleet.rules.share", format!("{}, expected 0 to 0.5", self.share));
+        }
+        if !(0.001..=1.0).contains(&self.processor) {
+            return bad("fleet.rules.processor", format!("{}, expected 0.001 to 1", self.processor));
+        }
+        let (share, processor) = (self.share * 100.0, self.processor * 1_000.0);
+        let (share, processor) = (share.round() as u32, processor.round() as u32);
+        if self.fence && members.saturating_mul(share as usize) < 100 {
+            let text = format!("{} of {members} members is not one: none could be fenced", self.share);
+            return bad("fleet.rules.share", text);
+        }
+        Ok(RulesSettings { fence: self.fence, share, processor })
+    }
 }
 
 #[derive(Deserialize)]
@@ -122,6 +169,7 @@
         if !ROUNDS.contains(&self.round.0) {
             return bad("fleet.round", "expected 10ms to 60s");
         }
+        let rules = self.rules.settings(self.members.len())?;
         let zone = me.zone.as_str().into();
         let member = |member: MemberFile| FleetMember {
             host: member.host.into(),
@@ -134,6 +182,7 @@
             voters: self.voters.into_iter().map(Into::into).collect(),
             store: self.store,
             round: self.round.0,
+            rules,
         })
     }
 }
@@ -160,6 +209,7 @@
 
 #[cfg(test)]
 mod tests {
+    use super::RulesSettings;
     use crate::config::read;
 
     const NODE: &str = "(plain yes) (host n1.example) (realm example) (listen 127.0.0.1:0)
@@ -179,6 +229,7 @@
         let config = read(&format!("{NODE}{FLEET}")).expect("a good file");
         let fleet = config.service.fleet.expect("a fleet");
         assert_eq!((fleet.members.len(), fleet.voters.len(), fleet.round), (4, 3, 500_000));
+        assert_eq!(fleet.rules, RulesSettings { fence: false, share: 20, processor: 10 });
         assert_eq!((&*fleet.zone, &*fleet.members[2].zone), ("z1", "z3"));
         assert_eq!(config.service.node.members, fleet.peers());
         let alone = read(NODE).expect("a good file").service;
@@ -212,6 +263,9 @@
                 "",
                 "fleet.store: given, but this node is no voter",
             ),
+            ("(round 500ms)", "(rules (share 0.6))", "fleet.rules.share: 0.6, expected 0 to 0.5"),
+            ("(round 500ms)", "(rules (processor 0))", "fleet.rules.processor: 0, expected 0.001 to 1"),
+            ("(round 500ms)", "(rules (fence yes))", "fleet.rules.share: 0.2 of 4 members is not one"),
             ("(round 500ms)", "(round 1ms)", "fleet.round: expected 10ms"),
             ("(round 500ms)", "(rounds 500ms)", "fleet: unknown field `rounds`"),
             ("(fleet ", "(limits (message 16KiB)) (fleet ", "limits.message: below 36KiB beside a fleet"),
--- a/crates/lemoncleat-service/src/lib.rs
+++ b/crates/lemoncleat-service/src/lib.rs
@@ -14,7 +14,7 @@
 pub use access::{listen_for_callers, read_access_config, serve_access, AccessControl, AccessSettings};
 pub use config::{read as read_config, Config, ConfigError, LogConfig};
 pub use feed::{parse_line, FeedError, FeedLine};
-pub use fleet_settings::{FleetMember, FleetSettings};
+pub use fleet_settings::{FleetMember, FleetSettings, RulesSettings};
 pub use log::{init as init_log, LogFormat, LogTo};
 pub use service::{
     serve, spawn, Control, Running, ServiceError, ServiceSettings, Started, TlsSettings, TlsSource,
--- a/crates/lemoncleat-service/src/service.rs
+++ b/crates/lemoncleat-service/src/service.rs
@@ -10,6 +10,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use lemoncleat_certificates::{Keeper, KeeperEvent, KeeperSettings};
+use lemoncleat_consistency::Rules;
 use lemoncleat_net::{
     client_config, server_config, Authorities, ClientConfig, Event, Identity, Mailbox, MinVersion, Net,
     ServerName, TlsFiles,
@@ -49,6 +50,8 @@
     pub control: Option<SocketAddr>,
     /// Seed of the node's random choices; by default from the clock.
     pub seed: Option<u64>,
+    /// What determines its decisions: the module's settings and the plan of the core's, as read.
+    pub rules: Rules,
     /// What it shares with other nodes; `None` for a node on its own.
     pub fleet: Option<crate::FleetSettings>,
 }
@@ -253,6 +256,8 @@
             said: Vec::new(),
         };
         service.load_tls().map_err(ServiceError::Settings)?;
+        let rules = settings.rules;
+        tracing::info!(node = &*service.host, "rules {}", rules.version());
         if let Some(settings) = &settings.fleet {
             let mailbox = service.net.sender();
             let stored = move |(batch, result): Stored| {
@@ -260,7 +265,9 @@
                 let _ = mailbox.send_blocking(Control::Stored(batch, result));
             };
             let driver = FleetDriver::new(&service.host, settings, state_id, seed, stored);
-            service.fleet = Some(driver.map_err(ServiceError::Settings)?);
+            let mut driver = driver.map_err(ServiceError::Settings)?;
+            driver.watch(rules, &settings.rules, &mut service.said);
+            service.fleet = Some(driver);
         }
         service.start_keeper().map_err(ServiceError::Settings)?;
         let challenge = service.keeper.as_ref().and_then(Keeper::challenge_address);
@@ -410,25 +417,33 @@
         let now = self.clock();
         let Some(driver) = &mut self.fleet else { return };
         turn(&mut driver.part, now, &mut self.said);
-        for said in std::mem::take(&mut self.said) {
-            match said {
-                Said::Meet(member) => self.handle(Input::Meet(member)),
-                Said::Part(member) => self.handle(Input::Part(member)),
-                Said::Word(member, bytes) => self.handle(Input::Word(member, &bytes)),
-                Said::Answer(conn, answer) if self.operators.contains_key(&conn) => {
-                    self.net.send(conn, format!("{answer}\n").as_bytes());
-                }
-                Said::Answer(..) => {}
-                Said::Store(batch) => {
-                    let number = batch.number;
-                    if !self.fleet.as_ref().is_some_and(|driver| driver.store(batch)) {
-                        let why = Err("the thread that stores has ended".to_owned());
-                        self.part(|part, now, said| part.stored(now, number, why, said));
-                    }
+        while !self.said.is_empty() {
+            for said in std::mem::take(&mut self.said) {
+                self.carry_out(now, said);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, now: Micros, said: Said) {
+        match said {
+            Said::Meet(member) => self.handle(Input::Meet(member)),
+            Said::Part(member) => self.handle(Input::Part(member)),
+            Said::Word(member, bytes) => self.handle(Input::Word(member, &bytes)),
+            Said::Answer(conn, answer) if self.operators.contains_key(&conn) => {
+                self.net.send(conn, format!("{answer}\n").as_bytes());
+            }
+            Said::Answer(..) => {}
+            Said::Store(batch) => {
+                let number = batch.number;
+                let Some(driver) = &mut self.fleet else { return };
+                if !driver.store(batch) {
+                    let why = Err("the thread that stores has ended".to_owned());
+                    driver.part.stored(now, number, why, &mut self.said);
                 }
-                Said::Log(true, text) => tracing::warn!(node = &*self.host, "{text}"),
-                Said::Log(false, text) => tracing::info!(node = &*self.host, "{text}"),
             }
+            Said::Fence(come_back) => self.handle(Input::Fence(come_back)),
+            Said::Log(true, text) => tracing::warn!(node = &*self.host, "{text}"),
+            Said::Log(false, text) => tracing::info!(node = &*self.host, "{text}"),
         }
     }
 
@@ -442,21 +457,40 @@
         }
     }
 
+    /// Work of the fleet's part that nobody waits for: only where nothing else waits, and as much as its share of
+    /// the processor allows.
+    fn fleet_work(&mut self) {
+        let now = self.clock();
+        let idle = self.node.wake().is_none_or(|wake| wake > now) && self.outputs.is_empty();
+        let due = self.fleet.as_ref().and_then(|driver| driver.part.work_at());
+        if idle && due.is_some_and(|due| due <= now) {
+            self.part(|part, now, said| part.work(now, said));
+            let ended = self.clock();
+            if let Some(driver) = &mut self.fleet {
+                driver.part.worked(ended, ended - now);
+            }
+        }
+    }
+
     async fn run(mut self) -> Stats {
         let moment = |start: Instant, at: Micros| start + Duration::from_micros(at.max(0) as u64);
         loop {
             // Between two looks lies at most half a gap, so that a longer pause is seen for what it is.
             let beat = self.looked + self.gap / 2;
-            let part = self.fleet.as_ref().and_then(|driver| driver.part.wake());
+            let part = self.fleet.as_ref().map(|driver| &driver.part);
+            let part = part.into_iter().flat_map(|part| part.wake().into_iter().chain(part.work_at()));
             let wake = self.node.wake().into_iter().chain(part).fold(beat, Micros::min);
             let event = self.net.next(Some(moment(self.start, wake))).await;
             self.turn();
-            self.batch(event).await;
+            let all = self.batch(event).await;
             self.handle(Input::Timeout);
             self.fleet_turn();
             self.write();
             if self.away {
                 self.catch_up().await;
+            } else if all {
+                self.fleet_work();
+                self.write();
             }
             if self.stopped {
                 return self.node.stats();
@@ -464,22 +498,24 @@
         }
     }
 
-    /// Handles an event and those that are there behind it, as far as what they lead to can wait.
-    async fn batch(&mut self, mut event: Option<Event<Control>>) {
+    /// Handles an event and those that are there behind it, as far as what they lead to can wait. Tells whether
+    /// those were all.
+    async fn batch(&mut self, mut event: Option<Event<Control>>) -> bool {
         let until = self.clock() + BATCH_TIME;
         for _ in 0..BATCH {
             match event.take() {
                 Some(event) => self.event(event).await,
-                None => return,
+                None => return true,
             }
             if self.clock() > until {
-                return;
+                return false;
             }
             event = self.net.try_next();
         }
         if let Some(event) = event {
             self.event(event).await;
         }
+        false
     }
 
     /// After a gap: hands over all that came meanwhile, and tells the core when that is done.
