--- a/crates/lemoncleat-cli/src/args.rs
+++ b/crates/lemoncleat-cli/src/args.rs
@@ -117,8 +117,14 @@
     #[arg(long, requires = "seed")]
     pub trace: bool,
     /// Look for a smaller run that shows the same.
-    #[arg(long, requires = "seed")]
+    #[arg(long, requires = "seed", conflicts_with = "fleet")]
     pub shrink: bool,
+    /// Play the nodes' parts in a fleet in place of calls: who is there, facts, and the agreed log.
+    #[arg(long)]
+    pub fleet: bool,
+    /// How many nodes such a fleet has, 3 to 1,024.
+    #[arg(long, default_value_t = 9, requires = "fleet", value_parser = clap::value_parser!(u32).range(3..=1_024))]
+    pub nodes: u32,
 }
 
 /// Two numbers with `..` between.
--- a/crates/lemoncleat-cli/src/simulate.rs
+++ b/crates/lemoncleat-cli/src/simulate.rs
@@ -1,12 +1,13 @@
 //! `lemoncleat simulate`.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc;
 use std::time::Instant;
 
 use indicatif::{ProgressBar, ProgressStyle};
 use lemoncleat_lab::{Record, Rule};
+use lemoncleat_simulate::fleet;
 use lemoncleat_simulate::{shrink, simulate, Finding, Outcome, Scenario};
 
 use crate::args::SimulateArgs;
@@ -16,9 +17,13 @@
 const SHRINK: u32 = 400;
 /// Findings that are listed.
 const LISTED: usize = 20;
+/// Lines before a finding that are shown of a fleet's run.
+const BEFORE: usize = 60;
 
 pub fn run(args: &SimulateArgs) -> Result<(), Failure> {
     match args.seed {
+        Some(seed) if args.fleet => one_fleet(seed, args),
+        None if args.fleet => many_fleets(args),
         Some(seed) => one(seed, args),
         None => many(args),
     }
@@ -92,7 +97,12 @@
     Err(Failure::Told)
 }
 
-fn many(args: &SimulateArgs) -> Result<(), Failure> {
+/// Plays the seeds on some threads; `take` gets each outcome as it comes.
+fn seeds<T: Send>(
+    args: &SimulateArgs,
+    play: impl Fn(u64) -> T + Sync,
+    mut take: impl FnMut(u64, T) -> Result<(), Failure>,
+) -> Result<(), Failure> {
     let (first, end) = args.seeds;
     let jobs = args.jobs.or_else(|| std::thread::available_parallelism().ok().map(usize::from)).unwrap_or(1);
     let start = Instant::now();
@@ -102,43 +112,53 @@
         ProgressStyle::with_template("{bar:40} {pos}/{len} {elapsed}")
             .unwrap_or_else(|_| ProgressStyle::default_bar()),
     );
-    let (mut played, mut steps, mut time, mut calls) = (0_u64, 0_u64, 0.0, 0_usize);
-    let mut cases = [0_usize; 5];
-    let mut found = BTreeMap::new();
     std::thread::scope(|scope| -> Result<(), Failure> {
         for _ in 0..jobs.max(1) {
-            let (sender, next) = (sender.clone(), &next);
+            let (sender, next, play) = (sender.clone(), &next, &play);
             scope.spawn(move || loop {
                 let seed = next.fetch_add(1, Ordering::Relaxed);
                 let late = start.elapsed().as_secs_f64() > args.minutes * 60.0;
                 if seed >= end || late {
                     return;
                 }
-                if sender.send((seed, simulate(&Scenario::draw(seed), None))).is_err() {
+                if sender.send((seed, play(seed))).is_err() {
                     return;
                 }
             });
         }
         drop(sender);
         for (seed, outcome) in outcomes {
-            let outcome = outcome.map_err(|why| Failure::Failed(format!("seed {seed}: {why}")))?;
             bar.inc(1);
-            played += 1;
-            steps += outcome.steps;
-            time += outcome.time as f64 / 1e6;
-            if let Some(verdict) = &outcome.verdict {
-                calls += verdict.tries;
-                for rule in Rule::ALL {
-                    cases[rule as usize] += verdict.rules[rule as usize].cases;
-                }
-            }
-            if let Some((step, finding)) = outcome.finding {
-                found.insert(seed, (step, finding));
-            }
+            take(seed, outcome)?;
         }
         Ok(())
     })?;
     bar.finish_and_clear();
+    Ok(())
+}
+
+fn many(args: &SimulateArgs) -> Result<(), Failure> {
+    let start = Instant::now();
+    let (mut played, mut steps, mut time, mut calls) = (0_u64, 0_u64, 0.0, 0_usize);
+    let mut cases = [0_usize; 5];
+    let mut found = BTreeMap::new();
+    let play = |seed| simulate(&Scenario::draw(seed), None);
+    seeds(args, play, |seed, outcome| {
+        let outcome = outcome.map_err(|why| Failure::Failed(format!("seed {seed}: {why}")))?;
+        played += 1;
+        steps += outcome.steps;
+        time += outcome.time as f64 / 1e6;
+        if let Some(verdict) = &outcome.verdict {
+            calls += verdict.tries;
+            for rule in Rule::ALL {
+                cases[rule as usize] += verdict.rules[rule as usize].cases;
+            }
+        }
+        if let Some((step, finding)) = outcome.finding {
+            found.insert(seed, (step, finding));
+        }
+        Ok(())
+    })?;
     let took = start.elapsed().as_secs_f64();
     println!(
         "{played} seeds, {calls} calls, {steps} steps, {time:.0} s of virtual time in {took:.1} s: {:.0} seeds a minute, \
@@ -161,3 +181,118 @@
     println!("{} SEEDS FOUND SOMETHING; play one with --seed N --shrink", found.len());
     Err(Failure::Told)
 }
+
+// ---- Fleets ----
+
+fn one_fleet(seed: u64, args: &SimulateArgs) -> Result<(), Failure> {
+    let plan = fleet::Plan::draw(seed, args.nodes as usize);
+    let seconds = |at: i64| at as f64 / 1e6;
+    println!(
+        "seed {seed}: {} nodes, {} voters, rounds of {:.1} s, links {} to {} us, watchdogs {:.1} s, calm at {:.3} s",
+        plan.nodes,
+        plan.voters,
+        seconds(plan.round),
+        plan.delay.0,
+        plan.delay.1,
+        seconds(plan.watchdog),
+        seconds(plan.calm)
+    );
+    for fault in &plan.faults {
+        println!(
+            "  {:>8.3}s to {:>7.3}s  {:?} of n{}",
+            seconds(fault.from),
+            seconds(fault.until),
+            fault.kind,
+            fault.node
+        );
+    }
+    let mut before = VecDeque::new();
+    let mut told = |line: &str| {
+        if args.trace {
+            println!("{line}");
+        } else {
+            before.push_back(line.to_owned());
+            if before.len() > BEFORE {
+                before.pop_front();
+            }
+        }
+    };
+    let outcome = fleet::play(&plan, Some(&mut told));
+    println!(
+        "{} steps, {:.1} s of virtual time, digest {:016x}",
+        outcome.steps,
+        seconds(outcome.time),
+        outcome.digest
+    );
+    tempted(&outcome.counts);
+    let Some((step, why)) = outcome.finding else {
+        println!(
+            "every law kept, whole again {:.1} s after the last fault",
+            seconds(outcome.healed.unwrap_or(0))
+        );
+        return Ok(());
+    };
+    println!("BROKEN at step {step}: {why}");
+    if !before.is_empty() {
+        println!("what came last:");
+        before.iter().for_each(|line| println!("    {line}"));
+    }
+    Err(Failure::Told)
+}
+
+fn tempted(counts: &fleet::Counts) {
+    println!(
+        "{} entries agreed and {} applied again, {} orders answered, {} not in time, {} without a quorum, {} promises \
+         compared with disks, {} batches lost or refused, {} facts looked at, {} words of {} bytes",
+        counts.agreed,
+        counts.applied,
+        counts.answered,
+        counts.late,
+        counts.without_quorum,
+        counts.promises,
+        counts.unstored,
+        counts.facts,
+        counts.words,
+        counts.bytes
+    );
+}
+
+fn many_fleets(args: &SimulateArgs) -> Result<(), Failure> {
+    let start = Instant::now();
+    let nodes = args.nodes as usize;
+    let (mut played, mut steps, mut time, mut longest) = (0_u64, 0_u64, 0.0, 0);
+    let mut counts = fleet::Counts::default();
+    let mut found = BTreeMap::new();
+    seeds(
+        args,
+        |seed| fleet::play(&fleet::Plan::draw(seed, nodes), None),
+        |seed, outcome| {
+            played += 1;
+            steps += outcome.steps;
+            time += outcome.time as f64 / 1e6;
+            longest = longest.max(outcome.healed.unwrap_or(0));
+            counts.add(&outcome.counts);
+            if let Some(finding) = outcome.finding {
+                found.insert(seed, finding);
+            }
+            Ok(())
+        },
+    )?;
+    let took = start.elapsed().as_secs_f64();
+    println!(
+        "{played} seeds of {nodes} nodes, {steps} steps, {time:.0} s of virtual time in {took:.1} s: {:.0} seeds a \
+         minute; whole again at most {:.1} s after the last fault",
+        played as f64 * 60.0 / took,
+        longest as f64 / 1e6
+    );
+    tempted(&counts);
+    for (seed, (step, why)) in found.iter().take(LISTED) {
+        println!("seed {seed}, step {step}: {why}");
+    }
+    if found.is_empty() {
+        println!("every law kept, every fleet whole again");
+        return Ok(());
+    }
+    println!("{} SEEDS FOUND SOMETHING; play one with --fleet --nodes {nodes} --seed N --trace", found.len());
+    Err(Failure::Told)
+}
--- a/crates/lemoncleat-simulate/src/lib.rs
+++ b/crates/lemoncleat-simulate/src/lib.rs
@@ -4,6 +4,7 @@
 //! broken. The same seed gives the same run, to the byte.
 
 mod fabric;
+pub mod fleet;
 mod node;
 mod scenario;
 mod shrink;
