--- a/crates/lemoncleat-cli/tests/rules.rs
+++ b/crates/lemoncleat-cli/tests/rules.rs
@@ -106,12 +106,12 @@
             fleet.processes[at].wait_for_log(mark, |line| line.contains("one version of the rules again"));
         println!("{}", line.expect("one version is told"));
     }
-    for at in 0..3 {
+    for (at, process) in fleet.processes.iter().enumerate() {
         wait_for(&fleet, at, "rules", |told| told == [&*usual, &usual, &usual]);
         // All have played their cases, and came to the same.
         let decides = wait_for(&fleet, at, "decides", |told| told.iter().all(Value::is_string));
         assert!(decides.len() == 3 && decides.iter().all(|one| *one == decides[0]), "{decides:?}");
-        let log = std::fs::read_to_string(fleet.processes[at].log_file()).expect("its log");
+        let log = std::fs::read_to_string(process.log_file()).expect("its log");
         assert!(!log.contains("otherwise") && !log.contains("decide in"), "no alarm: {log}");
     }
 }
--- a/crates/lemoncleat-faults/src/stage.rs
+++ b/crates/lemoncleat-faults/src/stage.rs
@@ -3,10 +3,10 @@
 //!
 //! | from the stage | from the process |
 //! | --- | --- |
-//! | | `here PID` |
+//! | | `here PID`, and waits |
 //! | `arm NAME SKIP FAULT` | `armed NAME`, or `unknown ...` |
 //! | | `reached NAME FAULT`, and waits, unless the fault is `error` |
-//! | `go` | |
+//! | `go`: from its start, or from a point | |
 //! | `passes` | `passes NAME=COUNT ...` |
 //!
 //! What a kill, a pause or a cut is, the stage knows: it holds the process and its links.
@@ -31,7 +31,8 @@
 
 static STAGE: OnceLock<Stage> = OnceLock::new();
 
-/// Connects to the stage, if the environment names one.
+/// Connects to the stage, if the environment names one, and waits until it lets the process start: so points can
+/// be armed that are passed at a start.
 ///
 /// # Errors
 ///
@@ -46,6 +47,7 @@
         change: Condvar::new(),
         passes: Mutex::new(BTreeMap::new()),
     });
+    let held = stage.gone_on.lock().map(|gone_on| *gone_on).unwrap_or_default();
     stage.say(&format!("here {}", std::process::id()));
     std::thread::Builder::new().name("stage".to_owned()).spawn(move || {
         for order in orders.lines().map_while(Result::ok) {
@@ -57,6 +59,7 @@
         }
         stage.go_on();
     })?;
+    stage.wait(held);
     Ok(())
 }
 
@@ -75,6 +78,13 @@
         }
     }
 
+    /// Waits until the stage lets go on more than it had `before`.
+    fn wait(&self, before: u64) {
+        if let Ok(gone_on) = self.gone_on.lock() {
+            drop(self.change.wait_while(gone_on, |gone_on| *gone_on == before));
+        }
+    }
+
     fn order(&self, order: &str) {
         let words: Vec<&str> = order.split_whitespace().collect();
         match words[..] {
@@ -118,8 +128,7 @@
     let before = stage.gone_on.lock().map(|gone_on| *gone_on).ok()?;
     stage.say(&format!("reached {} {}", point.name, fault.name()));
     if fault != Fault::Error {
-        let waits = stage.gone_on.lock().ok()?;
-        let _let_go = stage.change.wait_while(waits, |gone_on| *gone_on == before).ok()?;
+        stage.wait(before);
     }
     Some(fault)
 }
--- a/crates/lemoncleat-faults/tests/points.rs
+++ b/crates/lemoncleat-faults/tests/points.rs
@@ -55,7 +55,7 @@
 fn a_process_stays_at_its_point_until_the_stage_lets_it_go() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     std::env::set_var(STAGE_VARIABLE, listener.local_addr().expect("its address").to_string());
-    attend().expect("the stage is there");
+    let start = std::thread::spawn(attend);
     let (stream, _) = listener.accept().expect("the process comes");
     let mut orders = stream.try_clone().expect("two ends");
     let mut lines = BufReader::new(stream).lines().map(|line| line.expect("a line"));
@@ -65,6 +65,9 @@
     assert_eq!(heard(), "unknown arm NOWHERE 0 kill");
     writeln!(orders, "arm STORE_WRITE 1 pause").expect("sent");
     assert_eq!(heard(), "armed STORE_WRITE");
+    assert!(!start.is_finished(), "it waits to be started");
+    writeln!(orders, "go").expect("sent");
+    start.join().expect("it ends").expect("the stage is there");
     let turns = std::thread::spawn(|| [operation(), operation(), operation()]);
     assert_eq!(heard(), "reached STORE_WRITE pause");
     assert!(!turns.is_finished());
--- a/crates/lemoncleat-lab/src/stage/control.rs
+++ b/crates/lemoncleat-lab/src/stage/control.rs
@@ -35,9 +35,27 @@
     ///
     /// When the node is gone, its answer is no JSON, or none comes within [`LIMIT`].
     pub fn ask(&mut self, order: &Value) -> io::Result<Value> {
+        self.say(order)?;
+        self.hear()
+    }
+
+    /// Gives an order, whose answer may be heard after others were given.
+    ///
+    /// # Errors
+    ///
+    /// When the node is gone, or takes nothing for [`LIMIT`].
+    pub fn say(&mut self, order: &Value) -> io::Result<()> {
         let mut text = order.to_string();
         text.push('\n');
-        self.line.get_mut().write_all(text.as_bytes())?;
+        self.line.get_mut().write_all(text.as_bytes())
+    }
+
+    /// Waits for the next answer. Orders may be answered in another order than they were given.
+    ///
+    /// # Errors
+    ///
+    /// As [`Control::ask`].
+    pub fn hear(&mut self) -> io::Result<Value> {
         let mut answer = Vec::new();
         (&mut self.line).take(LONGEST).read_until(b'\n', &mut answer)?;
         if answer.is_empty() {
--- a/crates/lemoncleat-lab/src/stage/fleet.rs
+++ b/crates/lemoncleat-lab/src/stage/fleet.rs
@@ -106,8 +106,12 @@
         Ok(fleet)
     }
 
-    /// Waits until a process is ready and leads its links to it.
-    fn greet(&mut self, links: &Links, at: usize) -> io::Result<()> {
+    /// Waits until a process is ready that was started again by itself, and leads its links to it.
+    ///
+    /// # Errors
+    ///
+    /// As [`Fleet::start`].
+    pub fn greet(&mut self, links: &Links, at: usize) -> io::Result<()> {
         let Some((process, kept)) = self.processes.get(at).zip(self.ready.get_mut(at)) else {
             return Err(io::Error::other(format!("no process {at}")));
         };
--- a/crates/lemoncleat-lab/src/stage/mod.rs
+++ b/crates/lemoncleat-lab/src/stage/mod.rs
@@ -1,9 +1,9 @@
 //! The stage: real processes on one machine, every link between them through a relay that can be disturbed, and
-//! the numbered points of [`lemoncleat_faults`] in their hands.
+//! the numbered points of [`lemoncleat_faults`] in their hands, with the feature `faults`.
 //!
 //! - [`Links`] carries bytes between named ends and delays, holds, cuts, resets or refuses them.
 //! - [`Process`] is a program started from its binary: its output is read, it can be killed, paused, restarted.
-//! - [`Points`] holds processes at numbered points; [`carry_out`] does there what a [`Fault`] is.
+//! - `Points` holds processes at numbered points; `carry_out` does there what a `Fault` is.
 //! - [`Fleet`] starts many processes that know each other by the relay's addresses only.
 //! - [`Control`] asks the control port of a node.
 //!
@@ -14,6 +14,7 @@
 mod fleet;
 mod lines;
 mod links;
+#[cfg(feature = "faults")]
 mod points;
 mod process;
 mod relay;
@@ -22,9 +23,11 @@
 
 pub use control::Control;
 pub use fleet::{Fleet, FleetPlan, Member, Site};
-pub use lemoncleat_faults::Fault;
+#[cfg(feature = "faults")]
+pub use lemoncleat_faults::{Fault, STAGE_VARIABLE};
 pub use links::{Links, Trouble};
-pub use points::{carry_out, span, Points, Reached, STAGE_VARIABLE};
+#[cfg(feature = "faults")]
+pub use points::{carry_out, span, Points, Reached};
 pub use process::{Disk, Process, Program, Ready};
 pub use relay::{Cut, Traffic};
 
--- a/crates/lemoncleat-lab/src/stage/points.rs
+++ b/crates/lemoncleat-lab/src/stage/points.rs
@@ -8,13 +8,10 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
-use lemoncleat_faults::{find, Fault, Point};
+use lemoncleat_faults::{find, Fault, Point, STAGE_VARIABLE};
 
 use super::{late, Cut, Links, Process, Trouble, LIMIT};
 
-/// The variable in a process's environment that holds the stage's address.
-pub const STAGE_VARIABLE: &str = "LEMONCLEAT_STAGE";
-
 /// Longest line taken from a process.
 const LONGEST: u64 = 64 * 1024;
 /// Points reached that may wait to be looked at; a process armed more often than that is not heard.
@@ -44,6 +41,8 @@
     seen: Mutex<BTreeMap<u32, Seen>>,
     change: Condvar,
     stopped: AtomicBool,
+    /// Processes that report are kept from starting.
+    holds: AtomicBool,
 }
 
 /// Where processes with numbered points report. A process finds it by [`Points::variable`].
@@ -87,6 +86,12 @@
         (STAGE_VARIABLE.to_owned(), self.address.to_string())
     }
 
+    /// Whether processes that report from now on wait until [`Points::go`] lets them start, for points that are
+    /// passed at a start.
+    pub fn hold_starts(&self, holds: bool) {
+        self.shared.holds.store(holds, Ordering::SeqCst);
+    }
+
     /// The pass of the point after `skip` further ones meets the fault.
     ///
     /// # Errors
@@ -117,7 +122,7 @@
         self.shared.lock().get_mut(&process.id()?)?.reached.pop_front()
     }
 
-    /// Lets the process go on from a point.
+    /// Lets the process go on from a point, or start.
     ///
     /// # Errors
     ///
@@ -196,6 +201,10 @@
             let mut all = self.lock();
             if let ["here", number] = words[..] {
                 id = number.parse::<u32>().ok();
+                if let (Some(line), false) = (&mut stream, self.holds.load(Ordering::SeqCst)) {
+                    // One that is gone already is noticed by the next read.
+                    let _ = writeln!(line, "go");
+                }
                 if let Some(id) = id {
                     // A number may come again with another process.
                     all.insert(id, Seen { line: stream.take(), ..Seen::default() });
--- a/crates/lemoncleat-lab/src/stage/process.rs
+++ b/crates/lemoncleat-lab/src/stage/process.rs
@@ -10,7 +10,6 @@
 use rustix::process::{kill_process, waitid, Pid, Signal, WaitId, WaitIdOptions};
 
 use super::lines::Lines;
-use super::STAGE_VARIABLE;
 
 /// Lines of the log that an error shows.
 const SHOWN: usize = 10;
@@ -105,9 +104,11 @@
                 .replace("{settings}", &settings.display().to_string())
                 .replace("{disk}", &disk.display().to_string())
         };
-        let mut child = Command::new(&self.program.path)
+        let mut command = Command::new(&self.program.path);
+        #[cfg(feature = "faults")]
+        command.env_remove(super::STAGE_VARIABLE);
+        let mut child = command
             .args(self.program.arguments.iter().map(fill))
-            .env_remove(STAGE_VARIABLE)
             .envs(self.program.environment.iter().cloned())
             .current_dir(&disk)
             .stdin(Stdio::null())
