Pages of the fault points name what the feature brings without a link to it

Seen: cargo doc without the feature `on` found no `scene` and no `attend` to link to and failed the checks. They are named in plain type now; cargo doc over the workspace passes with warnings denied.

--- a/crates/lemoncleat-faults/src/lib.rs
+++ b/crates/lemoncleat-faults/src/lib.rs
@@ -19,7 +19,7 @@
 //! ```
 //!
 //! Without the feature `on` both are nothing, and nothing of this package is in the binary. With it there are two
-//! hosts: [`scene`] for cores that one thread plays under a virtual clock, and [`attend`] for real processes,
+//! hosts: `scene` for cores that one thread plays under a virtual clock, and `attend` for real processes,
 //! which a stage holds at a point while it kills them, pauses them or cuts their links.
 
 #[cfg(feature = "on")]
