Judge: an answer written right before its connection was lost may not have been read

The judge took the call for standing from the moment of the writing. Ruled out: the node (its client hears of one answer, at 4.530), the other three rules' cases.

Change: a success that crossed at most `skew` before its connection ended, and of which the client has not heard, is in doubt: the attempt counts as ended without an answer, and as standing again if the client hears so with no attempt in between. A test with the three cases.

--- a/crates/lemoncleat-lab/src/judge.rs
+++ b/crates/lemoncleat-lab/src/judge.rs
@@ -209,6 +209,10 @@
     /// An attempt ended without an answer, at this moment.
     unanswered: Option<(Micros, usize)>,
     stands: bool,
+    /// A server said so, at this moment and on this connection, and the client has not heard of it.
+    said: Option<(Micros, u64)>,
+    /// What it said may have been lost with its connection.
+    in_doubt: bool,
 }
 
 struct Cold {
@@ -521,6 +525,13 @@
             return self.broken(Rule::OneAnswer, at, &session, how, vec![number]);
         };
         let result = message.result_code();
+        if let Some(state) = self.sessions.get_mut(&session).filter(|_| result == result_code::SUCCESS) {
+            state.said = None;
+            if std::mem::take(&mut state.in_doubt) {
+                // The node had read it after all.
+                (state.stands, state.unanswered) = (true, None);
+            }
+        }
         let (request, deadline, earlier) =
             (self.tries[id].record, self.tries[id].deadline, self.tries[id].answer);
         let this = &mut self.tries[id];
@@ -707,6 +718,7 @@
                 if state.out.is_some_and(|(_, out_on, out_hop, _)| (out_on, out_hop) == (conn, hop)) {
                     state.out = None;
                     state.stands = success;
+                    state.said = success.then_some((at, conn));
                 } else if success {
                     self.late += 1;
                 }
@@ -754,6 +766,7 @@
         let state = self.sessions.entry(session.clone()).or_default();
         let (out, unanswered, stands) = (state.out, state.unanswered.take(), state.stands);
         state.out = Some((server, conn, message.header.hop_by_hop, number));
+        (state.said, state.in_doubt) = (None, false);
         // As `yielded`, met the other way round: the server's seizure waits at a node that had no turn.
         let crosses = message.number(d::CIRCUIT_ID).is_some_and(|circuit| {
             let mut theirs = self.seizures.iter().filter(|((on, _, theirs), _)| *on == conn && *theirs);
@@ -840,6 +853,12 @@
                         state.out = None;
                         state.unanswered = Some((at, number));
                     }
+                    // Written right before its connection ended, an answer is lost with what a reset discards.
+                    let lost = |(said, on): &(Micros, u64)| *on == conn && at - said <= self.facts.skew;
+                    if state.stands && state.said.take_if(|said| lost(said)).is_some() {
+                        (state.stands, state.in_doubt) = (false, true);
+                        state.unanswered = Some((at, number));
+                    }
                 }
             }
         }
--- a/crates/lemoncleat-lab/tests/judge.rs
+++ b/crates/lemoncleat-lab/tests/judge.rs
@@ -218,6 +218,28 @@
     assert_eq!(with(9, true), [(Rule::OneAttempt, 1)], "the node controls it: the server yields");
 }
 
+#[test]
+fn rule_2_an_answer_written_right_before_its_connection_was_lost_may_not_have_been_read() {
+    let with = |closed: i64, told: bool| {
+        let (asked, first, second) = (aar("s", 1, false), aar("s", 11, false), aar("s", 12, true));
+        let mut records = vec![
+            facts(),
+            frame(0, CLIENT, 1, true, asked.clone()),
+            frame(1, End::Server(0), 2, false, first.clone()),
+            frame(10, End::Server(0), 2, true, answer(&first, code::SUCCESS)),
+            Record::Closed { at: closed * MS, end: End::Server(0), conn: 2 },
+            frame(330, End::Server(1), 3, false, second.clone()),
+            frame(340, End::Server(1), 3, true, answer(&second, code::SUCCESS)),
+        ];
+        records.push(frame(if told { 20 } else { 341 }, CLIENT, 1, false, answer(&asked, code::SUCCESS)));
+        records.push(Record::End { at: 20_000 * MS });
+        broken(records)
+    };
+    assert_eq!(with(12, false), [], "lost with the connection");
+    assert_eq!(with(12, true), [(Rule::OneAttempt, 1)], "the client was told: it had been read");
+    assert_eq!(with(20, false), [(Rule::OneAttempt, 1)], "there was time to read it");
+}
+
 #[test]
 fn rule_3_a_send_after_the_grace_whether_the_list_or_the_server_told() {
     let listed = |at: i64| {
