Access: a caller that ends its half of a connection is gone; Stopped is said again

What was read: the core learned of a caller's end only by Input::Closed, which the driver gives once all bytes before it were read (callers.rs, caller_closed), so a set-up that waited could be sent on after its caller had gone, and one that was read behind the end was begun.

Ruled out: waiting for Closed on a half-close.

The change: Input::Leaving marks a caller's connection, gives its open set-ups up as a close does, answers each 480 there, and does the same to set-ups read on it afterwards. Releases pass over such a connection, what was sent there and not confirmed counts as unsent, and it is the first that is closed for room. Stopped is said at each look for as long as everything is done.

--- a/crates/lemoncleat-access/src/callers.rs
+++ b/crates/lemoncleat-access/src/callers.rs
@@ -30,6 +30,8 @@
     /// Set-ups without an answer that came on it.
     pub(crate) open: u32,
     bad: u32,
+    /// Its caller has ended its half of it.
+    pub(crate) leaving: bool,
 }
 
 /// All of them.
@@ -47,19 +49,33 @@
         self.conns.contains_key(&conn)
     }
 
-    /// Whom to close for room: a connection that has brought nothing yet, the oldest first, then one that nobody
-    /// has proven, then, of those without an open set-up, the one that has been quiet longest.
+    /// Whether a release may be sent there: its caller has not ended its half.
+    pub(crate) fn takes_releases(&self, conn: ConnId) -> bool {
+        self.conns.get(&conn).is_some_and(|caller| !caller.leaving)
+    }
+
+    /// Whether the caller has ended its half of it.
+    pub(crate) fn is_leaving(&self, conn: ConnId) -> bool {
+        self.conns.get(&conn).is_some_and(|caller| caller.leaving)
+    }
+
+    /// Whom to close for room: of those without an open set-up one whose caller is leaving, then one that has brought
+    /// nothing yet, the oldest first, then one that nobody has proven, then the one that has been quiet longest.
     fn least(&self) -> Option<ConnId> {
         let free = self.conns.iter().filter(|(_, caller)| caller.open == 0);
         let rank = |caller: &Caller| {
-            (caller.useful.is_some(), caller.proven.is_some(), caller.useful.unwrap_or(caller.accepted))
+            let since = caller.useful.unwrap_or(caller.accepted);
+            (!caller.leaving, caller.useful.is_some(), caller.proven.is_some(), since)
         };
         free.min_by_key(|(_, caller)| rank(caller)).map(|(conn, _)| *conn)
     }
 
     /// The surest connection for a release, other than those: proven last, else of use last.
     pub(crate) fn surest(&self, but: &[ConnId]) -> Option<ConnId> {
-        let sound = self.conns.iter().filter(|(conn, caller)| caller.useful.is_some() && !but.contains(conn));
+        let sound = self
+            .conns
+            .iter()
+            .filter(|(conn, caller)| caller.useful.is_some() && !caller.leaving && !but.contains(conn));
         sound.max_by_key(|(_, caller)| (caller.proven, caller.useful)).map(|(conn, _)| *conn)
     }
 }
@@ -88,6 +104,7 @@
             partial: None,
             open: 0,
             bad: 0,
+            leaving: false,
         };
         self.callers.conns.insert(conn, caller);
     }
@@ -169,7 +186,9 @@
         let now = self.now;
         if let Some(caller) = self.callers.conns.get_mut(&conn) {
             caller.useful = Some(now);
-            self.send_releases(conn);
+            if !caller.leaving {
+                self.send_releases(conn);
+            }
         }
     }
 
@@ -181,6 +200,31 @@
         }
     }
 
+    /// A caller has ended its half of a connection: the set-ups open on it are given up, and none is begun that
+    /// comes on it from now on.
+    pub(crate) fn caller_leaving(&mut self, conn: ConnId) {
+        match self.callers.conns.get_mut(&conn) {
+            Some(caller) if !caller.leaving => caller.leaving = true,
+            _ => return,
+        }
+        self.give_up_open(conn);
+        self.releases_unsent(conn);
+    }
+
+    /// Gives the set-ups open on a connection up, and refuses them there: its other side may still read.
+    fn give_up_open(&mut self, conn: ConnId) {
+        for id in self.open_on(conn) {
+            let Some(call) = self.calls.get(&id) else { continue };
+            let refused = response(480, "Temporarily Unavailable", &call.request).finish(b"");
+            self.caller_gone(id);
+            self.send(conn, refused);
+        }
+    }
+
+    fn open_on(&self, conn: ConnId) -> Vec<lemoncleat::CallId> {
+        self.calls.iter().filter(|(_, call)| call.conn == conn).map(|(id, _)| *id).collect()
+    }
+
     /// A connection that its caller closed: the set-ups open on it are given up.
     pub(crate) fn caller_closed(&mut self, conn: ConnId) {
         if self.callers.conns.remove(&conn).is_some() {
@@ -189,9 +233,7 @@
     }
 
     fn caller_lost(&mut self, conn: ConnId) {
-        let open: Vec<_> =
-            self.calls.iter().filter(|(_, call)| call.conn == conn).map(|(id, _)| *id).collect();
-        for id in open {
+        for id in self.open_on(conn) {
             self.caller_gone(id);
         }
         self.releases_unsent(conn);
--- a/crates/lemoncleat-access/src/calls.rs
+++ b/crates/lemoncleat-access/src/calls.rs
@@ -91,6 +91,11 @@
         }
         self.caller_useful(conn);
         self.stats.calls += 1;
+        if self.callers.is_leaving(conn) {
+            // Nobody waits for it any more.
+            self.stats.gone += 1;
+            return self.send(conn, response(480, "Temporarily Unavailable", &message).finish(b""));
+        }
         if self.calls.len() >= self.most_open {
             self.stats.refused += 1;
             return self.send(conn, response(503, "Service Unavailable", &message).finish(b""));
--- a/crates/lemoncleat-access/src/node.rs
+++ b/crates/lemoncleat-access/src/node.rs
@@ -163,6 +163,7 @@
                 self.came = self.now - waited.max(0);
                 self.bytes(conn, bytes);
             }
+            Input::Leaving(conn) => self.caller_leaving(conn),
             Input::Closed(conn) => match self.end_of(conn) {
                 Some(End::Caller) => self.caller_closed(conn),
                 Some(End::Server) => self.server_closed(conn),
--- a/crates/lemoncleat-access/src/releases.rs
+++ b/crates/lemoncleat-access/src/releases.rs
@@ -92,7 +92,7 @@
         }
         let release = Release { id: text, called, cause, since: self.now, sent: None, tried: Vec::new() };
         self.releases.open.insert(id, release);
-        let to = if self.callers.holds(conn) { Some(conn) } else { self.callers.surest(&[]) };
+        let to = if self.callers.takes_releases(conn) { Some(conn) } else { self.callers.surest(&[]) };
         if let Some(to) = to {
             self.send_release(id, to);
         }
--- a/crates/lemoncleat-access/src/sweep.rs
+++ b/crates/lemoncleat-access/src/sweep.rs
@@ -53,9 +53,11 @@
         let age: Micros = self.now - since;
         let silent = self.standing.is_empty() && self.releases.len() == 0;
         let late = age > self.longest_deadline + STOP_STANDING;
-        if !self.stopped && age >= STOP_AFTER && self.calls.is_empty() && (silent || late) {
-            self.stopped = true;
-            self.tell_tables();
+        if age >= STOP_AFTER && self.calls.is_empty() && (silent || late) {
+            if !std::mem::replace(&mut self.stopped, true) {
+                self.tell_tables();
+            }
+            // Again at each look: what still arrives until the driver ends is taken, and this waits for it.
             self.out.push(Output::Stopped);
         }
     }
