Access: a set-up whose withdrawal was read before it is answered 487 and never begun

What was read: caller_cancels and caller_releases (calls.rs) answered a CANCEL or BYE about an unknown id 481 and forgot it. A withdrawal may come on another connection than its INVITE and be read first; the INVITE was then begun for a caller that had gone. A copy of a withdrawn INVITE, read after its CANCEL, was begun too. A BYE before the answer gave the set-up up without a final answer to the INVITE (RFC 3261 section 15.1.2).

Ruled out, by the test that withdraws in each place in which a set-up waits (an answer, the release time, a connection, a server), five ways each: an attempt after the caller has gone, a second word to the module (stats.gone is 1), anything left in the module's or the node's tables.

The change: ids that were withdrawn are remembered for the longest deadline of the settings, at most 20 s, and at most 4,096 of them, as releases of unknown calls are; a set-up under one is answered 487. A BYE before the answer is answered 200, and its INVITE 487.

--- a/crates/lemoncleat-access/src/calls.rs
+++ b/crates/lemoncleat-access/src/calls.rs
@@ -91,6 +91,11 @@
         }
         self.caller_useful(conn);
         self.stats.calls += 1;
+        if self.releases.was_withdrawn(id) {
+            // The CANCEL was read before it.
+            self.stats.gone += 1;
+            return self.send(conn, response(487, "Request Terminated", &message).finish(b""));
+        }
         if self.callers.is_leaving(conn) {
             // Nobody waits for it any more.
             self.stats.gone += 1;
@@ -185,12 +190,10 @@
             return self.unusable(conn, message, 400, "Bad Call-ID");
         };
         let id = CallId(number);
-        if let Some(call) = self.calls.get(&id) {
-            let (to, ended) = (call.conn, response(487, "Request Terminated", &call.request).finish(b""));
+        if self.calls.contains_key(&id) {
             self.caller_useful(conn);
             self.send(conn, response(200, "OK", message).finish(b""));
-            self.caller_gone(id);
-            self.send(to, ended);
+            self.terminated(id);
         } else if self.standing.get(&id).is_some_and(|standing| !standing.acked) {
             // It crossed the answer: nobody is there to speak.
             self.caller_useful(conn);
@@ -198,6 +201,8 @@
             self.release_by_caller(id, 16);
             self.trace_id(id, "given up as it was answered");
         } else {
+            let now = self.now;
+            self.releases.withdraw(now, id);
             self.unusable(conn, message, 481, "Call/Transaction Does Not Exist");
         }
     }
@@ -212,11 +217,13 @@
             self.caller_proven(conn);
             self.release_by_caller(id, cause);
         } else if self.calls.contains_key(&id) {
-            self.caller_gone(id);
+            // Released before its answer: the INVITE is answered all the same (RFC 3261 section 15.1.2).
+            self.terminated(id);
         } else if !self.releases.crossed(id) {
             // It may be one that this process learns of later.
             let now = self.now;
             self.releases.keep_unknown(now, id, cause);
+            self.releases.withdraw(now, id);
             return self.unusable(conn, message, 481, "Call/Transaction Does Not Exist");
         }
         self.caller_useful(conn);
@@ -228,6 +235,17 @@
         self.release_at_server(standing.server, &standing.id, &standing.called, cause, standing.server_conn);
     }
 
+    /// A caller withdrew its set-up: that is given up and answered so. A copy of its INVITE that is read later, on
+    /// another connection, is not begun.
+    fn terminated(&mut self, id: CallId) {
+        let Some(call) = self.calls.get(&id) else { return };
+        let (conn, ended) = (call.conn, response(487, "Request Terminated", &call.request).finish(b""));
+        let now = self.now;
+        self.releases.withdraw(now, id);
+        self.caller_gone(id);
+        self.send(conn, ended);
+    }
+
     /// A caller that waits no longer: its call is forgotten and what is out for it withdrawn.
     pub(crate) fn caller_gone(&mut self, id: CallId) {
         self.withdraw(id);
--- a/crates/lemoncleat-access/src/releases.rs
+++ b/crates/lemoncleat-access/src/releases.rs
@@ -30,6 +30,9 @@
     open: BTreeMap<CallId, Release>,
     /// Releases of calls that are not known here, with their cause.
     unknown: BTreeMap<CallId, (Micros, u16)>,
+    /// Set-ups that their callers withdrew, for INVITEs that are read later than that: on another connection the
+    /// CANCEL may come first.
+    withdrawn: BTreeMap<CallId, Micros>,
     /// Attempts that were given up, for answers that come late.
     abandoned: BTreeMap<(CallId, ServerId), Micros>,
 }
@@ -40,7 +43,7 @@
     }
 
     pub(crate) fn unknown_len(&self) -> usize {
-        self.unknown.len()
+        self.unknown.len() + self.withdrawn.len()
     }
 
     /// Keeps a release of a call that is not known here, while there is room.
@@ -54,6 +57,17 @@
         self.unknown.remove(&id).map(|(_, cause)| cause)
     }
 
+    /// Remembers a set-up that its caller withdrew, while there is room.
+    pub(crate) fn withdraw(&mut self, now: Micros, id: CallId) {
+        if self.withdrawn.len() < RELEASES {
+            self.withdrawn.insert(id, now);
+        }
+    }
+
+    pub(crate) fn was_withdrawn(&self, id: CallId) -> bool {
+        self.withdrawn.contains_key(&id)
+    }
+
     /// A release that crossed the other side's: both are heard.
     pub(crate) fn crossed(&mut self, id: CallId) -> bool {
         self.open.remove(&id).is_some()
@@ -145,6 +159,9 @@
         let now = self.now;
         self.releases.open.retain(|_, release| now - release.since < RELEASE_KEPT);
         self.releases.unknown.retain(|_, (at, _)| now - *at < UNKNOWN_KEPT);
+        // After that no set-up sent before its withdrawal is worth an attempt.
+        let crossing = self.longest_deadline.min(UNKNOWN_KEPT);
+        self.releases.withdrawn.retain(|_, at| now - *at < crossing);
         self.releases.abandoned.retain(|_, at| now - *at < UNKNOWN_KEPT);
         let again = self.releases.open.iter().filter(|(_, release)| {
             release.tried.len() < RELEASE_TRIES && release.sent.is_some_and(|at| now - at > RELEASE_AGAIN)
--- /dev/null
+++ b/crates/lemoncleat-access/tests/withdrawals.rs
@@ -0,0 +1,157 @@
+//! Callers that have gone: no attempt begins for one, and whatever was out for it is given up.
+
+mod common;
+
+use common::*;
+use lemoncleat_access::Notice;
+use lemoncleat_sip::Method;
+
+const ID: &str = "9b1f03aa5c7e2d41";
+const NEXT: &str = "00000000000000a1";
+const LEGS: &str = "dest:0;width:1;via:-1";
+
+/// On two connections the withdrawal of a set-up may be read before the set-up.
+#[test]
+fn a_set_up_whose_withdrawal_was_read_first_is_never_begun() {
+    for (method, same) in [(Method::Cancel, false), (Method::Cancel, true), (Method::Bye, false)] {
+        let mut world = World::new();
+        let caller = world.caller();
+        let other = if same { caller } else { world.caller() };
+        world.bytes(other, &about(method.clone(), ID));
+        assert_eq!(codes(&world.read(other)), [481], "{method:?}");
+        world.pass(50 * MS);
+        world.bytes(caller, &invite(ID, "voice", LEGS));
+        assert_eq!(codes(&world.read(caller)), [487], "{method:?}");
+        // Nor is a copy of it.
+        world.bytes(caller, &invite(ID, "voice", LEGS));
+        assert_eq!(codes(&world.read(caller)), [487], "{method:?}");
+        world.pass(2 * SECOND);
+        assert!(world.invites().is_empty(), "{method:?}");
+        let stats = world.node.stats();
+        assert_eq!((stats.calls, stats.gone, stats.attempts), (2, 2, 0), "{method:?}");
+    }
+}
+
+#[test]
+fn withdrawals_of_what_never_comes_are_forgotten_and_their_number_is_bounded() {
+    let mut world = World::new();
+    for call in 0..10_000 {
+        let caller = world.caller();
+        world.bytes(caller, &about(Method::Cancel, &format!("{:016x}", 0xabc000 + call)));
+        world.read(caller);
+    }
+    world.notices.clear();
+    world.pass(11 * SECOND);
+    let most = world.notices.iter().filter_map(|notice| match notice {
+        Notice::Tables { unknown, .. } => Some(*unknown),
+        _ => None,
+    });
+    assert!(most.max().expect("a line on the tables") <= 4_096);
+    world.pass(10 * SECOND);
+    let Notice::Tables { unknown, .. } = world.tables() else { panic!("tables") };
+    assert_eq!(unknown, 0);
+}
+
+#[test]
+fn a_copy_of_a_set_up_that_was_withdrawn_is_not_begun() {
+    let mut world = World::new();
+    let (caller, other) = (world.caller(), world.caller());
+    world.bytes(caller, &invite(ID, "voice", LEGS));
+    world.invited();
+    world.bytes(caller, &about(Method::Cancel, ID));
+    world.bytes(other, &invite(ID, "voice", LEGS));
+    assert_eq!(codes(&world.read(other)), [487]);
+    assert!(world.invites().is_empty());
+    assert_eq!(codes(&world.read(caller)), [200, 487]);
+}
+
+/// A release instead of a CANCEL: the INVITE is answered all the same.
+#[test]
+fn a_set_up_released_before_its_answer_is_answered_487() {
+    let mut world = World::new();
+    let (caller, other) = (world.caller(), world.caller());
+    world.bytes(caller, &invite(ID, "voice", LEGS));
+    let (_, conn, _) = world.invited();
+    world.bytes(other, &bye(ID, 16));
+    assert_eq!((codes(&world.read(caller)), codes(&world.read(other))), (vec![487], vec![200]));
+    assert_eq!(methods(&world.read(conn)), [Method::Cancel]);
+    world.pass(2 * SECOND);
+    assert!(world.invites().is_empty());
+}
+
+/// Every place in which a set-up may wait when its caller withdraws it or closes: nothing is sent on afterwards, the
+/// attempt that is out is given up, and the module's tables are empty.
+#[test]
+fn whatever_a_set_up_waits_for_nothing_is_sent_on_once_its_caller_has_gone() {
+    type Wait = fn(&mut World, lemoncleat_access::ConnId);
+    let waits: [(&str, Wait); 4] = [
+        ("an answer", |_, _| {}),
+        ("the release time", |world, conn| {
+            let (_, to, asked) = world.invited();
+            world.bytes(to, &refusal(&asked, 504, ""));
+            world.read(conn);
+        }),
+        ("a connection", |world, _| {
+            let (first, to, asked) = world.invited();
+            // The next server's connections are gone and its machine does not answer.
+            let next = if first == server_a() { server_b() } else { server_a() };
+            world.up.remove(&next);
+            for gone in world.to(next) {
+                world.close(gone);
+            }
+            world.bytes(to, &refusal(&asked, 480, ""));
+            assert!(world.dials.iter().any(|(_, address)| *address == next), "it is dialled");
+        }),
+        ("a server at all", |world, _| {
+            let (_, to, asked) = world.invited();
+            world.bytes(to, &refusal(&asked, 503, "all_trunks_busy"));
+        }),
+    ];
+    for (place, wait) in waits {
+        for how in ["CANCEL", "CANCEL elsewhere", "BYE", "close", "leaving"] {
+            let mut world = World::new();
+            let (caller, other) = (world.caller(), world.caller());
+            world.bytes(caller, &invite_for(ID, "dear", LEGS, "5000"));
+            wait(&mut world, caller);
+            assert!(!world.answers.contains_key(ID), "it waits for {place}");
+            match how {
+                "CANCEL" => world.bytes(caller, &about(Method::Cancel, ID)),
+                "CANCEL elsewhere" => world.bytes(other, &about(Method::Cancel, ID)),
+                "BYE" => world.bytes(other, &bye(ID, 16)),
+                "close" => world.close(caller),
+                _ => world.input(lemoncleat_access::Input::Leaving(caller)),
+            }
+            world.invites();
+            let before = world.node.stats().attempts;
+            world.up.extend([server_a(), server_b()]);
+            world.pass(6 * SECOND);
+            assert!(world.invites().is_empty(), "{place}, {how}");
+            let stats = world.node.stats();
+            assert_eq!((stats.attempts, stats.gone), (before, 1), "{place}, {how}");
+            let Notice::Tables { open, standing, module, .. } = world.tables() else { panic!("tables") };
+            assert_eq!((open, standing, module.calls, module.waiting), (0, 0, 0, 0), "{place}, {how}");
+            let answers = world.answers.get(ID).map_or(0, Vec::len);
+            assert_eq!(answers, usize::from(how != "close"), "{place}, {how}");
+        }
+    }
+}
+
+#[test]
+fn a_withdrawal_twice_or_after_the_end_changes_nothing() {
+    let mut world = World::new();
+    let caller = world.caller();
+    world.bytes(caller, &invite(ID, "voice", LEGS));
+    let (_, conn, asked) = world.invited();
+    let twice = [about(Method::Cancel, ID), about(Method::Cancel, ID)].concat();
+    world.bytes(caller, &twice);
+    assert_eq!(codes(&world.read(caller)), [200, 487, 481]);
+    assert_eq!(methods(&world.read(conn)), [Method::Cancel]);
+    world.bytes(conn, &refusal(&asked, 487, ""));
+    world.bytes(caller, &about(Method::Ack, ID));
+    // A call that stands and was acknowledged is ended by BYE, not by CANCEL (RFC 3261 section 9.1).
+    world.standing_call(caller, NEXT);
+    world.bytes(caller, &about(Method::Cancel, NEXT));
+    assert_eq!(codes(&world.read(caller)), [481]);
+    let Notice::Tables { open, standing, stats, .. } = world.tables() else { panic!("tables") };
+    assert_eq!((open, standing, stats.gone), (0, 1, 1));
+}
