Access: a caller's connection that was to be closed and stays keeps what was read of it

What was read (callers.rs): close_if_quiet dropped the connection's Reader before it was known whether it closes, and a NotQuiet began an empty one, so the rest of a half read set-up was taken for noise and answered 400; proven, bad and accepted were lost with it, and its releases counted as unsent. least() could choose a connection with half a message, or one that was answered that instant after a long wait. A connection silent or idle until a moment ago was closed under half a set-up. One that stayed let the table grow by one for good. Half a message hung up a connection with set-ups open on it, unanswered, as did bytes that can't be read. A CANCEL that crosses the answer counted against the connection for its whole life: the eighth closed it.

Ruled out: that a set-up without an answer is cut for room, silence or idling: open was respected there.

The change: a connection that is closed if it is quiet waits aside until the next Timeout, and NotQuiet takes it back whole. Half messages and those known to have something unread make room last; an accept may close two, so the table shrinks to its size again. A half message has its own two seconds and is closed if quiet, then (a trickle) anyway; not while a set-up is open. Its answer counts as use of a connection. Before a hang-up what is open is answered 480. What is of use clears the count of messages that were none.

--- a/crates/lemoncleat-access/src/callers.rs
+++ b/crates/lemoncleat-access/src/callers.rs
@@ -32,17 +32,26 @@
     bad: u32,
     /// Its caller has ended its half of it.
     pub(crate) leaving: bool,
+    /// It was to be closed and something waited there, which has not been read since.
+    spared: bool,
 }
 
 /// All of them.
 pub(crate) struct Callers {
     pub(crate) conns: BTreeMap<ConnId, Caller>,
+    /// Those that are closed unless something waits there to be read, and why: the driver says so before the next
+    /// [`Input::Timeout`](crate::Input::Timeout), and until then nothing of them is given up.
+    closing: BTreeMap<ConnId, (Caller, &'static str)>,
     most: usize,
 }
 
 impl Callers {
     pub(crate) fn new(sockets: usize) -> Self {
-        Callers { conns: BTreeMap::new(), most: sockets.saturating_sub(RESERVED) * 6 / 10 }
+        Callers {
+            conns: BTreeMap::new(),
+            closing: BTreeMap::new(),
+            most: sockets.saturating_sub(RESERVED) * 6 / 10,
+        }
     }
 
     pub(crate) fn holds(&self, conn: ConnId) -> bool {
@@ -61,11 +70,13 @@
 
     /// Whom to close for room: of those without an open set-up one whose caller is leaving, then one that has brought
     /// nothing yet, the oldest first, then one that nobody has proven, then the one that has been quiet longest.
+    /// Last of all come those of which half a message was read, and those known to have something to be read.
     fn least(&self) -> Option<ConnId> {
         let free = self.conns.iter().filter(|(_, caller)| caller.open == 0);
         let rank = |caller: &Caller| {
+            let owed = (caller.spared, caller.partial.is_some() && !caller.leaving);
             let since = caller.useful.unwrap_or(caller.accepted);
-            (!caller.leaving, caller.useful.is_some(), caller.proven.is_some(), since)
+            (owed, !caller.leaving, caller.useful.is_some(), caller.proven.is_some(), since)
         };
         free.min_by_key(|(_, caller)| rank(caller)).map(|(conn, _)| *conn)
     }
@@ -82,9 +93,12 @@
 
 impl AccessNode {
     pub(crate) fn caller_accepted(&mut self, conn: ConnId) {
-        if self.callers.conns.len() >= self.callers.most {
+        // One more than is needed where some stayed that were to be closed: the table shrinks to its size again.
+        let over = (self.callers.conns.len() + 1).saturating_sub(self.callers.most).min(2);
+        for still in 0..over {
             match self.callers.least() {
                 Some(least) => self.close_if_quiet(least, "room was needed"),
+                None if still > 0 => break,
                 None => {
                     self.notice(Notice::CallerClosed("there is no room"));
                     return self.out.push(Output::Close(conn));
@@ -94,6 +108,24 @@
         self.keep_caller(conn);
     }
 
+    /// A connection that was to be closed stays as it was: something waits there to be read.
+    pub(crate) fn caller_stays(&mut self, conn: ConnId) {
+        match self.callers.closing.remove(&conn) {
+            Some((caller, _)) => {
+                self.callers.conns.insert(conn, Caller { spared: true, ..caller });
+            }
+            None => self.keep_caller(conn),
+        }
+    }
+
+    /// Those that were to be closed and did not stay are closed.
+    pub(crate) fn callers_were_closed(&mut self) {
+        for (conn, (_, why)) in std::mem::take(&mut self.callers.closing) {
+            self.notice(Notice::CallerClosed(why));
+            self.releases_unsent(conn);
+        }
+    }
+
     /// Takes a connection into the table, as one that has brought nothing yet.
     pub(crate) fn keep_caller(&mut self, conn: ConnId) {
         let caller = Caller {
@@ -105,6 +137,7 @@
             open: 0,
             bad: 0,
             leaving: false,
+            spared: false,
         };
         self.callers.conns.insert(conn, caller);
     }
@@ -112,6 +145,7 @@
     pub(crate) fn caller_bytes(&mut self, conn: ConnId, bytes: &[u8]) {
         if let Some(caller) = self.callers.conns.get_mut(&conn) {
             caller.reader.push(bytes);
+            caller.spared = false;
         }
         while let Some(caller) = self.callers.conns.get_mut(&conn) {
             match caller.reader.next_message() {
@@ -185,7 +219,7 @@
     pub(crate) fn caller_useful(&mut self, conn: ConnId) {
         let now = self.now;
         if let Some(caller) = self.callers.conns.get_mut(&conn) {
-            caller.useful = Some(now);
+            (caller.useful, caller.bad) = (Some(now), 0);
             if !caller.leaving {
                 self.send_releases(conn);
             }
@@ -239,20 +273,21 @@
         self.releases_unsent(conn);
     }
 
-    /// Closes a connection, unless something waits there to be read.
+    /// Closes a connection on which no set-up is open, unless something waits there to be read.
     fn close_if_quiet(&mut self, conn: ConnId, why: &'static str) {
-        if self.callers.conns.remove(&conn).is_some() {
+        if let Some(caller) = self.callers.conns.remove(&conn) {
+            self.callers.closing.insert(conn, (caller, why));
             self.out.push(Output::CloseIfQuiet(conn));
-            self.notice(Notice::CallerClosed(why));
-            self.caller_lost(conn);
         }
     }
 
+    /// Closes a connection that can't be trusted; the set-ups open on it are refused first.
     fn hang_up(&mut self, conn: ConnId, why: &'static str) {
+        self.give_up_open(conn);
         if self.callers.conns.remove(&conn).is_some() {
             self.out.push(Output::HangUp(conn));
             self.notice(Notice::CallerClosed(why));
-            self.caller_lost(conn);
+            self.releases_unsent(conn);
         }
     }
 
@@ -260,10 +295,12 @@
         let now = self.now;
         let mut close = Vec::new();
         for (&conn, caller) in &self.callers.conns {
-            if caller.partial.is_some_and(|since| now - since > SILENT_CALLER) {
-                close.push((conn, UNFINISHED));
-            } else if caller.open > 0 {
+            if caller.open > 0 {
                 continue;
+            } else if let Some(since) = caller.partial {
+                if now - since > SILENT_CALLER {
+                    close.push((conn, UNFINISHED));
+                }
             } else if caller.useful.is_none() && now - caller.accepted > SILENT_CALLER {
                 close.push((conn, "nothing of use came"));
             } else if caller.useful.is_some_and(|at| now - at > IDLE_CALLER) {
@@ -271,10 +308,12 @@
             }
         }
         for (conn, why) in close {
-            if why == UNFINISHED {
+            // What a node short of processor time has not read yet may be a set-up, or the rest of one. A message
+            // that comes byte by byte does not hold its connection by that.
+            let trickles = self.callers.conns.get(&conn).and_then(|caller| caller.partial);
+            if trickles.is_some_and(|since| now - since > SILENT_CALLER + SILENT_CALLER / 4) {
                 self.hang_up(conn, why);
             } else {
-                // What a node short of processor time has not read yet may be a set-up.
                 self.close_if_quiet(conn, why);
             }
         }
--- a/crates/lemoncleat-access/src/calls.rs
+++ b/crates/lemoncleat-access/src/calls.rs
@@ -482,6 +482,8 @@
         self.wheel.cancel(call.guard);
         if let Some(caller) = self.callers.conns.get_mut(&call.conn) {
             caller.open = caller.open.saturating_sub(1);
+            // Its answer is still to be read there, and acknowledged.
+            caller.useful = Some(self.now);
         }
         Some(call)
     }
--- a/crates/lemoncleat-access/src/interface.rs
+++ b/crates/lemoncleat-access/src/interface.rs
@@ -19,7 +19,7 @@
 pub enum Input<'a> {
     /// A caller connected.
     Accepted(ConnId),
-    /// A connection that was to be closed if it was quiet is not: it stays.
+    /// A connection that was to be closed if it was quiet is not: it stays as it was, with what was read of it.
     NotQuiet(ConnId),
     /// A dial came about.
     Dialled(DialId, ConnId),
@@ -69,7 +69,8 @@
     Send(ConnId, Vec<u8>),
     /// Close once what was given is written.
     Close(ConnId),
-    /// Close at once, unless bytes wait there to be read; then say [`Input::NotQuiet`].
+    /// Close at once, unless bytes wait there to be read; then say [`Input::NotQuiet`], before the next
+    /// [`Input::Timeout`], with which the connection counts as closed.
     CloseIfQuiet(ConnId),
     /// Close gently, so that what was written is read although the other side goes on sending: write, end the
     /// writing half, read and drop for a bounded while.
--- a/crates/lemoncleat-access/src/node.rs
+++ b/crates/lemoncleat-access/src/node.rs
@@ -143,7 +143,7 @@
         self.came = self.now;
         match input {
             Input::Accepted(conn) => self.caller_accepted(conn),
-            Input::NotQuiet(conn) => self.keep_caller(conn),
+            Input::NotQuiet(conn) => self.caller_stays(conn),
             Input::Dialled(dial, conn) => {
                 if self.journal.is_dial(dial) {
                     self.journal_dialled(conn);
@@ -171,7 +171,10 @@
                 None => {}
             },
             Input::Datagram(from, bytes) => self.note(from, bytes),
-            Input::Timeout => self.due(),
+            Input::Timeout => {
+                self.callers_were_closed();
+                self.due();
+            }
             Input::JournalAt(address) => self.journal_at(address),
             Input::Terminate => self.terminate(),
         }
--- a/crates/lemoncleat-access/tests/endings.rs
+++ b/crates/lemoncleat-access/tests/endings.rs
@@ -131,3 +131,186 @@
     world.pass(200 * MS);
     assert!(world.stopped, "and again for as long as it is so");
 }
+
+/// A connection that was to be closed and stays is as it was: each offset at which the rest may be unread in turn.
+#[test]
+fn a_set_up_half_read_when_its_connection_was_to_be_closed_is_read_whole() {
+    let set_up = invite(ID, "voice", LEGS);
+    for offset in 1..set_up.len() {
+        let mut world = World::new();
+        let caller = world.caller();
+        world.bytes(caller, &set_up[..offset]);
+        world.unread.insert(caller);
+        world.pass(2_300 * MS);
+        assert!(!world.closed.contains(&caller), "{offset}: the rest waits to be read");
+        world.bytes(caller, &set_up[offset..]);
+        let (_, conn, asked) = world.invited();
+        world.bytes(conn, &ok(&asked));
+        assert_eq!(codes(&world.read(caller)), [200], "{offset}");
+    }
+}
+
+#[test]
+fn a_message_that_comes_byte_by_byte_does_not_hold_its_connection() {
+    let mut world = World::new();
+    let caller = world.caller();
+    world.unread.insert(caller);
+    for byte in &invite(ID, "voice", LEGS)[..28] {
+        if !world.closed.contains(&caller) {
+            world.bytes(caller, &[*byte]);
+        }
+        world.pass(100 * MS);
+    }
+    assert!(world.closed.contains(&caller));
+}
+
+/// A connection is not closed under half a set-up for want of anything before it, nor for being idle till then.
+#[test]
+fn a_connection_that_begins_a_set_up_after_a_long_silence_is_not_closed_under_it() {
+    for (first, silence) in [(None, 1_950), (Some(about(Method::Options, NEXT)), 9_950)] {
+        let mut world = World::new();
+        let caller = world.caller();
+        if let Some(first) = first {
+            world.bytes(caller, &first);
+            world.read(caller);
+        }
+        world.pass(silence * MS);
+        let set_up = invite(ID, "voice", LEGS);
+        world.bytes(caller, &set_up[..99]);
+        world.pass(500 * MS);
+        assert!(!world.closed.contains(&caller), "after {silence} ms");
+        world.bytes(caller, &set_up[99..]);
+        assert_eq!(world.invites().len(), 1);
+    }
+}
+
+/// Those of which half a message was read make room only where there is nobody else.
+#[test]
+fn room_is_made_by_others_before_one_of_which_half_a_set_up_was_read() {
+    let mut world = World::new();
+    let caller = world.caller();
+    let set_up = invite(ID, "voice", LEGS);
+    world.bytes(caller, &set_up[..99]);
+    // More than have room, and each has brought something.
+    for _ in 0..200 {
+        let other = world.caller();
+        world.bytes(other, &about(Method::Options, NEXT));
+    }
+    assert!(!world.closed.contains(&caller));
+    world.bytes(caller, &set_up[99..]);
+    assert_eq!(world.invites().len(), 1);
+    // Halves alone don't keep the next caller out.
+    let mut world = World::new();
+    let halves: Vec<_> = (0..200)
+        .map(|_| {
+            let half = world.caller();
+            world.bytes(half, &set_up[..99]);
+            half
+        })
+        .collect();
+    assert!(world.closed.contains(&halves[0]) && !world.closed.contains(&halves[199]));
+    let caller = world.caller();
+    world.bytes(caller, &set_up);
+    assert_eq!(world.invites().len(), 1);
+}
+
+/// One that stays does not stand for all: others make room, and the table shrinks to its size again.
+#[test]
+fn connections_that_stay_do_not_let_the_table_grow() {
+    let mut world = World::new();
+    let unread: Vec<_> = (0..40).map(|_| world.caller()).collect();
+    world.unread.extend(&unread);
+    let others: Vec<_> = (0..400).map(|_| world.caller()).collect();
+    assert!(unread.iter().all(|conn| !world.closed.contains(conn)));
+    let open = others.iter().filter(|conn| !world.closed.contains(conn)).count();
+    assert!(open + unread.len() <= 121, "{open} and 40 in a table for 120");
+}
+
+#[test]
+fn with_a_set_up_open_on_every_connection_nobody_is_closed_but_who_comes_then() {
+    let mut world = World::new();
+    let busy: Vec<_> = (0..120)
+        .map(|call| {
+            let caller = world.caller();
+            world.bytes(caller, &invite_for(&format!("{call:016x}"), "dear", LEGS, "5000"));
+            caller
+        })
+        .collect();
+    let late = world.caller();
+    assert!(world.closed.contains(&late));
+    assert!(busy.iter().all(|conn| !world.closed.contains(conn)));
+}
+
+/// An answer that was just written is still to be read: its connection is not the one that was quiet longest.
+#[test]
+fn a_connection_that_was_just_answered_is_not_closed_for_room_or_as_idle() {
+    let mut world = World::new();
+    let caller = world.caller();
+    world.bytes(caller, &invite_for(ID, "dear", LEGS, "30000"));
+    let (_, conn, asked) = world.invited();
+    world.pass(100 * MS);
+    for _ in 0..119 {
+        let other = world.caller();
+        world.bytes(other, &about(Method::Options, NEXT));
+    }
+    world.pass(100 * MS);
+    world.bytes(conn, &ok(&asked));
+    world.caller();
+    assert!(!world.closed.contains(&caller));
+    // A long wait for the answer is no idling.
+    let mut world = World::with(|text| text.replace("6000000", "60000000"));
+    let caller = world.caller();
+    world.bytes(caller, &invite_for(ID, "dear", LEGS, "60000"));
+    world.pass(15 * SECOND);
+    world.bytes(caller, &about(Method::Cancel, ID));
+    world.pass(5 * SECOND);
+    assert!(!world.closed.contains(&caller));
+    world.pass(6 * SECOND);
+    assert!(world.closed.contains(&caller));
+}
+
+/// A connection that can't be trusted any more is closed whatever is open on it, and what is open is refused first.
+#[test]
+fn set_ups_open_on_a_connection_that_is_hung_up_are_refused_there() {
+    let mut world = World::new();
+    let caller = world.caller();
+    world.bytes(caller, &invite(ID, "voice", LEGS));
+    let (_, conn, _) = world.invited();
+    world.bytes(caller, b"\x00\x01\x02\r\n\r\n");
+    assert!(world.closed.contains(&caller));
+    assert_eq!(methods(&world.read(conn)), [Method::Cancel]);
+    assert_eq!(world.answers[ID], [480]);
+    world.pass(2 * SECOND);
+    assert!(world.invites().is_empty());
+}
+
+/// While a set-up is open nothing is closed under it because of half a message behind it.
+#[test]
+fn half_a_message_behind_an_open_set_up_does_not_end_it() {
+    let mut world = World::new();
+    let caller = world.caller();
+    world.bytes(caller, &invite_for(ID, "dear", LEGS, "5000"));
+    let (_, conn, asked) = world.invited();
+    world.bytes(caller, &invite(NEXT, "voice", LEGS)[..50]);
+    for _ in 0..25 {
+        world.pass(100 * MS);
+        world.bytes(conn, &response(180, "Ringing", &asked).finish(b""));
+    }
+    assert!(!world.closed.contains(&caller) && !world.answers.contains_key(ID));
+}
+
+/// Withdrawals that come after the final answer are no use, but what comes between them is.
+#[test]
+fn a_connection_in_use_is_not_closed_for_withdrawals_that_cross_answers() {
+    let mut world = World::new();
+    let caller = world.caller();
+    for call in 0..20 {
+        let id = format!("{:016x}", 0xabc000 + call);
+        world.bytes(caller, &invite(&id, "voice", LEGS));
+        for _ in 0..2 {
+            world.bytes(caller, &about(Method::Cancel, &id));
+        }
+        assert_eq!(codes(&world.read(caller)), [200, 487, 481]);
+    }
+    assert!(!world.closed.contains(&caller));
+}
