Access: no second final answer under an id on the connection that owns it

What was read (calls.rs, invite): a set-up under an id that is open or stands was answered 482, also on the very connection of the first, and 400 if it could not be read. Answers are matched by id and method alone, so the caller could take that for the first one's answer; with the first one's own there were two.

Ruled out: absorbing whatever bears the id (a client that reuses an id with another description is to be refused, answered with an error or closed within 3 s); giving the first one up at once (a repeat must not disturb it); dropping the 482 on other connections (the owner does not read there, and the client there is owed a refusal). A set-up sent once more after a close of ours finds its id free: what is open is answered before a hang-up, and nothing is closed otherwise with a set-up open.

The change: an equal INVITE on the connection of an open one is a retransmission and absorbed (RFC 3261 section 17.2.1). Another one under the id of an open or standing call of its connection is refused by the end of the connection: once nothing is open on it, at the latest after 2 s, what is then open being answered 480 first.

Measured: without the mend both new tests in tests/endings.rs failed on the 482 (400 for the one of an unknown class) before the first one's answer.

--- a/crates/lemoncleat-access/src/callers.rs
+++ b/crates/lemoncleat-access/src/callers.rs
@@ -16,6 +16,8 @@
 
 /// Why a connection is closed that may bring anything but the rest of a message.
 const UNFINISHED: &str = "a message without an end";
+/// Why one is closed whatever it may bring.
+const CONFLICT: &str = "two set-ups under one id";
 
 /// One connection.
 pub(crate) struct Caller {
@@ -30,6 +32,8 @@
     /// Set-ups without an answer that came on it.
     pub(crate) open: u32,
     bad: u32,
+    /// Since when two of its set-ups bear one id: an answer to the second could be taken for the first one's.
+    conflict: Option<Micros>,
     /// Its caller has ended its half of it.
     pub(crate) leaving: bool,
     /// It was to be closed and something waited there, which has not been read since.
@@ -136,6 +140,7 @@
             partial: None,
             open: 0,
             bad: 0,
+            conflict: None,
             leaving: false,
             spared: false,
         };
@@ -216,6 +221,17 @@
         }
     }
 
+    /// A connection brought a second set-up under the id of one of its own. Nothing can be answered to it that would
+    /// not be taken for the first one's answer, so its refusal is the end of the connection: once nothing is open
+    /// there, so that the first is not disturbed, but within its time.
+    pub(crate) fn caller_conflict(&mut self, conn: ConnId) {
+        self.stats.bad_callers += 1;
+        let now = self.now;
+        if let Some(caller) = self.callers.conns.get_mut(&conn) {
+            caller.conflict.get_or_insert(now);
+        }
+    }
+
     pub(crate) fn caller_useful(&mut self, conn: ConnId) {
         let now = self.now;
         if let Some(caller) = self.callers.conns.get_mut(&conn) {
@@ -295,7 +311,10 @@
         let now = self.now;
         let mut close = Vec::new();
         for (&conn, caller) in &self.callers.conns {
-            if caller.open > 0 {
+            let conflict = caller.conflict.is_some_and(|at| caller.open == 0 || now - at > SILENT_CALLER);
+            if conflict {
+                close.push((conn, CONFLICT));
+            } else if caller.open > 0 {
                 continue;
             } else if let Some(since) = caller.partial {
                 if now - since > SILENT_CALLER {
@@ -311,7 +330,8 @@
             // What a node short of processor time has not read yet may be a set-up, or the rest of one. A message
             // that comes byte by byte does not hold its connection by that.
             let trickles = self.callers.conns.get(&conn).and_then(|caller| caller.partial);
-            if trickles.is_some_and(|since| now - since > SILENT_CALLER + SILENT_CALLER / 4) {
+            let over = trickles.is_some_and(|since| now - since > SILENT_CALLER + SILENT_CALLER / 4);
+            if over || why == CONFLICT {
                 self.hang_up(conn, why);
             } else {
                 self.close_if_quiet(conn, why);
--- a/crates/lemoncleat-access/src/calls.rs
+++ b/crates/lemoncleat-access/src/calls.rs
@@ -79,6 +79,7 @@
     pub(crate) fn invite(&mut self, conn: ConnId, message: Message) {
         let invite = match invite::read(&message, &self.classes) {
             Ok(invite) => invite,
+            Err(_) if self.is_owner(conn, &message) => return self.caller_conflict(conn),
             Err(phrase) => return self.unusable(conn, &message, 400, phrase),
         };
         let id = CallId(invite.number);
@@ -86,6 +87,13 @@
             self.caller_useful(conn);
             return self.take_up(conn, invite);
         }
+        if self.calls.get(&id).is_some_and(|call| call.conn == conn && call.request == message) {
+            // A retransmission is absorbed (RFC 3261 section 17.2.1): the first one's answer is the answer.
+            return self.trace_id(id, "the same INVITE again on its connection: absorbed");
+        }
+        if self.is_owner(conn, &message) {
+            return self.caller_conflict(conn);
+        }
         if self.calls.contains_key(&id) || self.standing.contains_key(&id) {
             return self.unusable(conn, &message, 482, "Loop Detected");
         }
@@ -139,6 +147,13 @@
         }));
     }
 
+    /// Whether a message bears the id of a call whose answer was or will be given on this connection.
+    fn is_owner(&self, conn: ConnId, message: &Message) -> bool {
+        let Some(id) = invite::id(message).map(|(_, number)| CallId(number)) else { return false };
+        self.calls.get(&id).is_some_and(|call| call.conn == conn)
+            || self.standing.get(&id).is_some_and(|standing| standing.caller == conn)
+    }
+
     /// A call that stands already at a server: taken up without a word to anybody.
     fn take_up(&mut self, conn: ConnId, invite: Invite) {
         let id = CallId(invite.number);
--- a/crates/lemoncleat-access/tests/endings.rs
+++ b/crates/lemoncleat-access/tests/endings.rs
@@ -314,3 +314,60 @@
     }
     assert!(!world.closed.contains(&caller));
 }
+
+/// On the connection of the first a second final answer under its id could be taken for its own.
+#[test]
+fn a_set_up_sent_again_on_its_connection_is_absorbed() {
+    let mut world = World::new();
+    let caller = world.caller();
+    world.bytes(caller, &invite(ID, "voice", LEGS));
+    let (_, conn, asked) = world.invited();
+    world.bytes(caller, &invite(ID, "voice", LEGS));
+    assert!(world.read(caller).is_empty() && world.invites().is_empty());
+    world.bytes(conn, &ok(&asked));
+    assert_eq!(codes(&world.read(caller)), [200]);
+    world.pass(3 * SECOND);
+    assert!(!world.closed.contains(&caller));
+    assert_eq!(world.answers[ID], [200]);
+}
+
+/// Such a caller is refused by the end of its connection, within its time and after the first one's answer.
+#[test]
+fn another_set_up_under_an_id_of_its_own_connection_ends_that_once_the_first_is_answered() {
+    let others = [invite(ID, "dear", LEGS), invite(ID, "gold", LEGS)];
+    for other in &others {
+        let mut world = World::new();
+        let caller = world.caller();
+        world.bytes(caller, &invite(ID, "voice", LEGS));
+        let (_, conn, asked) = world.invited();
+        world.bytes(caller, other);
+        assert!(world.read(caller).is_empty() && world.invites().is_empty());
+        world.pass(200 * MS);
+        assert!(!world.closed.contains(&caller), "the first is not disturbed");
+        world.bytes(conn, &ok(&asked));
+        world.bytes(caller, &about(Method::Ack, ID));
+        world.pass(200 * MS);
+        assert!(world.closed.contains(&caller));
+        assert_eq!(world.answers[ID], [200]);
+        let Notice::Tables { standing, .. } = world.tables() else { panic!("tables") };
+        assert_eq!(standing, 1, "a call that stands belongs to no connection");
+    }
+    // A first one that takes its time does not keep the connection beyond that.
+    let mut world = World::new();
+    let caller = world.caller();
+    world.bytes(caller, &invite_for(ID, "dear", LEGS, "5000"));
+    let (_, conn, _) = world.invited();
+    world.bytes(caller, &others[0]);
+    world.pass(2_200 * MS);
+    assert!(world.closed.contains(&caller));
+    assert_eq!(world.answers[ID].len(), 1);
+    assert_eq!(methods(&world.read(conn)), [Method::Cancel]);
+    // Nor is there anything to be answered while the call stands.
+    let mut world = World::new();
+    let caller = world.caller();
+    world.standing_call(caller, ID);
+    world.bytes(caller, &others[0]);
+    world.pass(200 * MS);
+    assert!(world.closed.contains(&caller));
+    assert_eq!(world.answers[ID], [200]);
+}
