Access: an answer read after its caller's deadline is released, not passed on

What was read: Deadline::door says that no answer leaves after it, and the access core never asked (calls.rs, attempt_answered). The loop gives what was read before it fires timers, so in a turn that came late a 200 was passed on to a caller that had stopped waiting, and the call stood at its server for nobody.

Ruled out, with tests: an attempt begun in a turn that comes after the deadline (the module begins none), and a second final answer where an attempt's time and its answer fall into one turn, in either order.

The change: past the door the call is released at its server, its attempt ends as timed out, and the guard's 504 is the final answer, as when its timer had fired first.

--- a/crates/lemoncleat-access/src/calls.rs
+++ b/crates/lemoncleat-access/src/calls.rs
@@ -425,6 +425,9 @@
     /// An attempt was answered: the call stands.
     pub(crate) fn attempt_answered(&mut self, id: CallId, conn: ConnId, message: &Message) {
         let now = self.now;
+        if self.calls.get(&id).is_some_and(|call| now > call.deadline.door()) {
+            return self.answered_late(id, conn);
+        }
         let Some(attempt) = self.take_attempt(id) else { return };
         self.tell(Event::Started {
             call: id,
@@ -448,6 +451,19 @@
         self.stand(id, standing);
     }
 
+    /// An attempt was answered, and its caller stops waiting before that could arrive: the turn came late, and the
+    /// guard has not acted yet. What stands at the server is released, and the call failed as the guard does.
+    fn answered_late(&mut self, id: CallId, conn: ConnId) {
+        let Some(attempt) = self.calls.get(&id).and_then(|call| call.attempt) else { return };
+        if let Some(call) = self.calls.get(&id) {
+            let (text, called) = (call.id.clone(), call.called.clone());
+            self.release_at_server(attempt.server, &text, &called, 16, Some(conn));
+        }
+        self.trace_id(id, "answered when its caller waits no longer: released");
+        self.end_attempt(id, Outcome::TimedOut, Reason::None, Report::default());
+        self.guard(id);
+    }
+
     fn stand(&mut self, id: CallId, standing: Standing) {
         self.servers.stands(standing.server, standing.server_conn, 1);
         self.standing.insert(id, standing);
--- a/crates/lemoncleat-access/tests/withdrawals.rs
+++ b/crates/lemoncleat-access/tests/withdrawals.rs
@@ -4,7 +4,7 @@
 
 use common::*;
 use lemoncleat_access::Notice;
-use lemoncleat_sip::Method;
+use lemoncleat_sip::{response, Method};
 
 const ID: &str = "9b1f03aa5c7e2d41";
 const NEXT: &str = "00000000000000a1";
@@ -155,3 +155,71 @@
     let Notice::Tables { open, standing, stats, .. } = world.tables() else { panic!("tables") };
     assert_eq!((open, standing, stats.gone), (0, 1, 1));
 }
+
+/// A caller that stopped waiting has given its set-up up: in a turn that comes late nothing is begun for it.
+#[test]
+fn nothing_is_begun_in_a_turn_that_comes_after_the_deadline() {
+    for late in [1_471, 1_499, 1_501, 3_000] {
+        let mut world = World::new();
+        let caller = world.caller();
+        world.bytes(caller, &invite(ID, "dear", LEGS));
+        let (_, conn, asked) = world.invited();
+        // The release time is waited out, and the turn at its end comes late.
+        world.bytes(conn, &refusal(&asked, 504, ""));
+        world.now += late * MS;
+        world.input(lemoncleat_access::Input::Timeout);
+        assert!(world.invites().is_empty(), "{late} ms");
+        world.pass(SECOND);
+        assert!(world.invites().is_empty(), "{late} ms");
+        assert_eq!(world.answers[ID].len(), 1, "{late} ms");
+    }
+}
+
+/// An answer that is read when its caller has stopped waiting is nobody's: the call that stands there is released.
+#[test]
+fn an_answer_read_after_the_deadline_is_released_and_never_passed_on() {
+    for (late, code) in [(1_490, 200), (1_499, 504), (1_501, 504), (1_900, 504)] {
+        let mut world = World::new();
+        let caller = world.caller();
+        world.bytes(caller, &invite(ID, "voice", LEGS));
+        let (_, conn, asked) = world.invited();
+        // A turn that comes late: what was read is taken in before timers are.
+        world.now += late * MS;
+        world.bytes(conn, &ok(&asked));
+        world.input(lemoncleat_access::Input::Timeout);
+        world.pass(SECOND);
+        assert_eq!(world.answers[ID], [code], "{late} ms");
+        let released = methods(&world.read(conn));
+        let expected = if code == 200 { vec![Method::Ack] } else { vec![Method::Ack, Method::Bye] };
+        assert_eq!(released, expected, "{late} ms");
+        let Notice::Tables { open, standing, module, .. } = world.tables() else { panic!("tables") };
+        assert_eq!((open, standing, module.calls), (0, usize::from(code == 200), 0));
+    }
+}
+
+/// The end of an attempt's time and its answer in one turn, in both orders.
+#[test]
+fn an_answer_in_the_turn_in_which_its_attempt_ends_leads_to_one_final_answer() {
+    for first in [true, false] {
+        let mut world = World::new();
+        let caller = world.caller();
+        world.bytes(caller, &invite(ID, "voice", LEGS));
+        let (_, conn, asked) = world.invited();
+        // Its connection is sound, and the module's margin of 30 ms has begun.
+        world.pass(10 * MS);
+        world.bytes(conn, &response(180, "Ringing", &asked).finish(b""));
+        world.now += 1_462 * MS;
+        if first {
+            world.bytes(conn, &ok(&asked));
+            world.input(lemoncleat_access::Input::Timeout);
+            assert_eq!(methods(&world.read(conn)), [Method::Ack]);
+        } else {
+            world.input(lemoncleat_access::Input::Timeout);
+            world.bytes(conn, &ok(&asked));
+            assert_eq!(methods(&world.read(conn)), [Method::Cancel, Method::Ack, Method::Bye]);
+        }
+        world.pass(SECOND);
+        assert_eq!(world.answers[ID].len(), 1);
+        assert_eq!(world.answers[ID] == [200], first);
+    }
+}
