Access: a call answered as its caller withdrew or closed is released on both sides

What was read: a CANCEL that came after the 200 and before the ACK released the call at its server and told its caller nothing (calls.rs, caller_cancels), though whatever stood and is over is to be released toward its caller; the caller may have read the answer meanwhile. A caller that closed its connection as the 200 was written left a call that stood for nobody until its server ended it (callers.rs, caller_lost took only open set-ups).

Ruled out: doing so at the sight of a FIN (the ACK ahead of it may be unread), for a call that was acknowledged (it belongs to no connection), and for an answer older than 0.5 s without an ACK (that may have been lost with the connection, and the call be in use). A CANCEL after the ACK has no effect (RFC 3261 section 9.1): BYE ends a call.

The change: both release the call at its server and toward its caller, on its connection or the next of use; a close does so for calls that are not acknowledged and were answered there within the last 0.5 s.

Measured: without the mend a_withdrawal_that_crossed_the_answer_is_followed_by_a_release and a_close_that_crossed_the_answer_releases_the_call in tests/withdrawals.rs failed, with no BYE to the caller and none to the server.

--- a/crates/lemoncleat-access/src/callers.rs
+++ b/crates/lemoncleat-access/src/callers.rs
@@ -287,6 +287,7 @@
             self.caller_gone(id);
         }
         self.releases_unsent(conn);
+        self.release_unread(conn);
     }
 
     /// Closes a connection on which no set-up is open, unless something waits there to be read.
--- a/crates/lemoncleat-access/src/calls.rs
+++ b/crates/lemoncleat-access/src/calls.rs
@@ -8,7 +8,7 @@
 use crate::invite::{self, Invite};
 use crate::node::{AccessNode, Timer};
 use crate::notice::Notice;
-use crate::timing::ANSWER_MARGIN;
+use crate::timing::{ANSWER_MARGIN, CROSSED};
 
 /// A set-up without an answer.
 pub(crate) struct Call {
@@ -210,11 +210,9 @@
             self.send(conn, response(200, "OK", message).finish(b""));
             self.terminated(id);
         } else if self.standing.get(&id).is_some_and(|standing| !standing.acked) {
-            // It crossed the answer: nobody is there to speak.
             self.caller_useful(conn);
             self.send(conn, response(200, "OK", message).finish(b""));
-            self.release_by_caller(id, 16);
-            self.trace_id(id, "given up as it was answered");
+            self.crossed_answer(id);
         } else {
             let now = self.now;
             self.releases.withdraw(now, id);
@@ -245,9 +243,30 @@
         self.send(conn, response(200, "OK", message).finish(b""));
     }
 
-    fn release_by_caller(&mut self, id: CallId, cause: u16) {
-        let Some(standing) = self.end_standing(id, Outcome::Ok, Report::default()) else { return };
+    fn release_by_caller(&mut self, id: CallId, cause: u16) -> Option<Standing> {
+        let standing = self.end_standing(id, Outcome::Ok, Report::default())?;
         self.release_at_server(standing.server, &standing.id, &standing.called, cause, standing.server_conn);
+        Some(standing)
+    }
+
+    /// A caller's withdrawal, or its close, crossed the answer: nobody is there to speak. The call is released on
+    /// both sides, for the caller may have read the answer meanwhile.
+    fn crossed_answer(&mut self, id: CallId) {
+        let Some(standing) = self.release_by_caller(id, 16) else { return };
+        self.trace_id(id, "given up as it was answered");
+        self.release_to_caller(id, standing.id, standing.called, 16, standing.caller);
+    }
+
+    /// A connection was closed by its caller: what was answered there just before and not acknowledged, the caller
+    /// has not read. Any other call that stands belongs to no connection and goes on.
+    pub(crate) fn release_unread(&mut self, conn: ConnId) {
+        let now = self.now;
+        let unread = self.standing.iter().filter(|(_, standing)| {
+            standing.caller == conn && !standing.acked && now - standing.since <= CROSSED
+        });
+        for id in unread.map(|(id, _)| *id).collect::<Vec<_>>() {
+            self.crossed_answer(id);
+        }
     }
 
     /// A caller withdrew its set-up: that is given up and answered so. A copy of its INVITE that is read later, on
--- a/crates/lemoncleat-access/tests/withdrawals.rs
+++ b/crates/lemoncleat-access/tests/withdrawals.rs
@@ -223,3 +223,59 @@
         assert_eq!(world.answers[ID] == [200], first);
     }
 }
+
+/// Its caller may have read the answer meanwhile: what stood is released toward it too, and once heard of no more.
+#[test]
+fn a_withdrawal_that_crossed_the_answer_is_followed_by_a_release() {
+    for same in [true, false] {
+        let mut world = World::new();
+        let caller = world.caller();
+        let other = if same { caller } else { world.caller() };
+        world.bytes(caller, &invite(ID, "voice", LEGS));
+        let (_, conn, asked) = world.invited();
+        world.bytes(conn, &ok(&asked));
+        assert_eq!(codes(&world.read(caller)), [200]);
+        world.read(conn);
+        world.bytes(other, &about(Method::Cancel, ID));
+        let (mut told, elsewhere) = (world.read(caller), world.read(other));
+        assert_eq!(methods(&told), [Method::Bye]);
+        assert_eq!(codes(if same { &told } else { &elsewhere }), [200]);
+        assert_eq!(methods(&world.read(conn)), [Method::Bye]);
+        told.retain(|message| message.method().is_some());
+        world.bytes(caller, &response(200, "OK", &told[0]).finish(b""));
+        let Notice::Tables { open, standing, releases, module, .. } = world.tables() else {
+            panic!("tables")
+        };
+        assert_eq!((open, standing, releases, module.calls), (0, 0, 0, 0));
+    }
+}
+
+/// A caller that closes as it is answered has gone: what came to stand all the same is released. Where it
+/// acknowledged the answer, or closes later, its call belongs to no connection.
+#[test]
+fn a_close_that_crossed_the_answer_releases_the_call() {
+    for (acked, after, stands) in [(false, 0, 0), (false, 300, 0), (true, 0, 1), (false, 2_000, 1)] {
+        let mut world = World::new();
+        let caller = world.caller();
+        world.bytes(caller, &invite(ID, "voice", LEGS));
+        let (_, conn, asked) = world.invited();
+        world.bytes(conn, &ok(&asked));
+        world.read(conn);
+        world.pass(after * MS);
+        // The end shows before the ACK ahead of it is read.
+        world.input(lemoncleat_access::Input::Leaving(caller));
+        if acked {
+            world.bytes(caller, &about(Method::Ack, ID));
+        }
+        assert!(world.read(conn).is_empty(), "what was sent before the end is still to be read");
+        world.close(caller);
+        let released = methods(&world.read(conn));
+        assert_eq!(released.len(), 1 - stands, "{acked}, {after} ms: {released:?}");
+        let next = world.caller();
+        world.bytes(next, &about(Method::Options, NEXT));
+        assert_eq!(methods(&world.read(next)).len(), 1 - stands, "the caller may have read the answer");
+        let Notice::Tables { standing, .. } = world.tables() else { panic!("tables") };
+        assert_eq!(standing, stands, "{acked}, {after} ms");
+        assert_eq!(world.answers[ID], [200]);
+    }
+}
