A repeat whose dial outlasts the module's choice is chosen anew, not written late

Read: the module allows a repeat of a class whose repeats are discarded only within `dedup_window` of the first attempt that may have run (`permitted` in decide.rs), at the moment of its choice. Where the server had no free connection the set-up waited for a dial, and `server_dialled` wrote it whenever that came up, up to the dial time (500 ms) later, so after the window. A server that drains meanwhile was handled (`unbind`), the window was not.

Ruled out: first attempts (nothing ran, the window does not bind), callers that left (they leave the dial's list), and the module's own reckoning, which counts the window from the choice of the first attempt and so errs on the safe side.

Change, all in servers.rs: a further attempt takes a sound connection that is up rather than wait for a dial; where there is none and the dial takes over 25 ms (half of the 50 ms by which every limit is drawn out), the attempt ends as one that never left, and the module chooses again with the connection up. It cannot go round: what is up is used at once. The cost is one try of the call for each dial that it waits for.

--- a/crates/lemoncleat-access/src/servers.rs
+++ b/crates/lemoncleat-access/src/servers.rs
@@ -113,6 +113,10 @@
 const MOST_OF_ONE: usize = 32;
 /// ... and of all nodes together, as long as each has one: what eight nodes, the most of a small fleet, may hold.
 const MOST_OF_ALL: usize = 8 * MOST_OF_ONE;
+/// A further attempt goes out this long after the module chose it, at most: half of the 50 ms by which the platform
+/// draws every time limit out. What the choice rested on, such as the window in which repeats are discarded, may be
+/// over later.
+const CHOICE_HOLDS: Micros = 25_000;
 
 impl Servers {
     pub(crate) fn new(sockets: usize, dial_timeout: Micros, zones: &[String], nodes: u32, seed: u64) -> Self {
@@ -390,7 +394,9 @@
         let spent = self.calls.get(&call).map_or(&[][..], |call| &call.spent);
         let best = self.servers.choose(server, spent);
         let free = best.and_then(|id| self.servers.conns.get(&id)).is_some_and(|conn| conn.open.is_empty());
-        if let (Some(conn), true) = (best, free || !self.servers.room(server)) {
+        // A further attempt does not wait for a dial where it can go out now.
+        let further = self.calls.get(&call).is_some_and(|call| call.attempts > 1);
+        if let (Some(conn), true) = (best, free || further || !self.servers.room(server)) {
             return Some(Carrier::Conn(conn));
         }
         let under_way = self.servers.all.get(&server)?.dials.first().copied();
@@ -479,7 +485,14 @@
             self.write_release(conn, &id, &called, cause);
         }
         for call in done.waiting {
-            self.write_invite(call, conn);
+            let held = self.calls.get(&call);
+            let late = held.filter(|call| call.attempts > 1).and_then(|call| call.attempt);
+            if late.is_some_and(|attempt| now - attempt.sent > CHOICE_HOLDS) {
+                // It never left; the module chooses anew, with this connection up.
+                self.end_attempt(call, Outcome::Moot, Reason::None, Report::default());
+            } else {
+                self.write_invite(call, conn);
+            }
         }
     }
 
