--- a/crates/lemoncleat-access/src/journal.rs
+++ b/crates/lemoncleat-access/src/journal.rs
@@ -25,7 +25,10 @@
     pos: u64,
     line: Vec<u8>,
     heard_at: Micros,
+    /// Between the beginnings of two dials, at least.
     pause: Micros,
+    /// When the last dial began.
+    dialled_at: Micros,
     dial_at: Micros,
     /// Whether something was read since the dial; a service that only accepts is not up.
     heard: bool,
@@ -40,6 +43,7 @@
             line: Vec::new(),
             heard_at: 0,
             pause: JOURNAL_REDIAL.0,
+            dialled_at: 0,
             dial_at: 0,
             heard: false,
         }
@@ -58,7 +62,7 @@
     pub(crate) fn dial_journal(&mut self) {
         let Some(address) = self.journal.address else { return };
         let dial = self.servers.next_dial();
-        self.journal.state = State::Dialling(dial);
+        (self.journal.state, self.journal.dialled_at) = (State::Dialling(dial), self.now);
         self.out.push(Output::Dial(dial, address, JOURNAL_DIAL));
     }
 
@@ -80,10 +84,17 @@
             State::Dialling(dial) => self.out.push(Output::StopDial(dial)),
             State::Down => {}
         }
+        let now = self.now;
+        if told && now - self.journal.dialled_at >= JOURNAL_REDIAL.1 {
+            // One that lasted was sound. Only reading a line proves nothing: the next may spoil it again.
+            self.journal.pause = JOURNAL_REDIAL.0;
+        }
+        // A dial that was waited for has been the pause already; the first of a series may not come at once either.
+        let begins = self.journal.dialled_at + self.spread(self.journal.pause);
         let journal = &mut self.journal;
         journal.line = Vec::new();
         journal.heard = false;
-        journal.dial_at = self.now + journal.pause;
+        journal.dial_at = begins.max(now + JOURNAL_REDIAL.0);
         journal.pause = (2 * journal.pause).min(JOURNAL_REDIAL.1);
         if told {
             self.notice(Notice::JournalDown(why));
@@ -129,7 +140,6 @@
     fn journal_line(&mut self, line: JournalLine) -> bool {
         let journal = &mut self.journal;
         journal.heard_at = self.now;
-        journal.pause = JOURNAL_REDIAL.0;
         let first = !std::mem::replace(&mut journal.heard, true);
         let (address, pos) = (journal.address, journal.pos);
         if let (true, Some(address)) = (first, address) {
--- a/crates/lemoncleat-access/src/servers.rs
+++ b/crates/lemoncleat-access/src/servers.rs
@@ -389,6 +389,11 @@
 
     // ---- Connections ----
 
+    /// A pause before something that all nodes do at once: this node's own part of it, the last quarter by its seed.
+    pub(crate) fn spread(&self, pause: Micros) -> Micros {
+        pause - pause / 1024 * (self.seed % 256) as Micros
+    }
+
     /// What an attempt goes out on; `None` where there is nothing and no room for it.
     pub(crate) fn carrier(&mut self, server: ServerId, call: CallId) -> Option<Carrier> {
         let spent = self.calls.get(&call).map_or(&[][..], |call| &call.spent);
--- /dev/null
+++ b/crates/lemoncleat-access/tests/watch.rs
@@ -0,0 +1,233 @@
+//! The watch on the journal service, through everything that may happen to it.
+
+mod common;
+
+use std::net::SocketAddr;
+
+use common::*;
+use lemoncleat_access::{ConnId, Input, Micros, Notice};
+
+/// How long a dial to the journal service may take at most; the driver keeps the time.
+const DIAL: Micros = SECOND;
+
+fn hosts(pos: u64, snapshot: bool, endpoints: &str) -> String {
+    format!(
+        "{{\"pos\":{pos},\"hosts\":{{\"index\":{pos},\"snapshot\":{snapshot},\"endpoints\":[{endpoints}]}}}}\n"
+    )
+}
+
+fn endpoint(name: &str, address: &str, status: &str) -> String {
+    format!(
+        r#"{{"name":"{name}","address":"{address}","zone":"east","type":"std","group":0,"status":"{status}","weight":1,"since_ms":0}}"#
+    )
+}
+
+fn drains(pos: u64) -> String {
+    hosts(pos, false, &endpoint("s-a", "127.0.1.1:5070", "draining"))
+}
+
+/// Where the next call goes, or that it is refused.
+fn goes_to(world: &mut World, id: u64) -> Option<SocketAddr> {
+    let caller = world.caller();
+    world.bytes(caller, &invite(&format!("{id:016x}"), "voice", "dest:0;width:1;via:-1"));
+    let invites = world.invites();
+    assert!(invites.len() < 2);
+    for (_, conn, asked) in &invites {
+        world.bytes(*conn, &ok(asked));
+    }
+    invites.first().map(|(to, ..)| *to)
+}
+
+fn watch(world: &World) -> ConnId {
+    let open = world.to(journal());
+    assert_eq!(open.len(), 1, "one watch is up");
+    open[0]
+}
+
+/// Lets time pass before a journal service that takes no connection up; gives when each dial began and ended. A dial
+/// fails at once (`refused`), or at its time.
+fn dials_in_vain(world: &mut World, span: Micros, refused: bool) -> Vec<(Micros, Micros)> {
+    let until = world.now + span;
+    let mut all = Vec::new();
+    let mut under_way = None;
+    while world.now < until {
+        let dial = world.dials.iter().find(|(_, to)| *to == journal()).map(|(dial, _)| *dial);
+        if let Some(dial) = dial {
+            let (held, since) = *under_way.get_or_insert((dial, world.now));
+            assert_eq!(held, dial, "one dial at a time");
+            if refused || world.now - since >= DIAL {
+                all.push((since, world.now));
+                under_way = None;
+                world.dials.retain(|(held, _)| *held != dial);
+                world.input(Input::DialFailed { dial, refused });
+            }
+        }
+        world.pass(10 * MS);
+    }
+    all
+}
+
+/// An event that breaks off behind each of its bytes, and comes whole on the next connection, twice.
+#[test]
+fn an_event_that_breaks_off_at_any_byte_is_asked_for_again_and_taken_once() {
+    let line = drains(2);
+    for at in 0..line.len() {
+        let mut world = World::new();
+        let first = watch(&world);
+        assert_eq!(world.raw(first), b"tail 1\n");
+        world.bytes(first, &line.as_bytes()[..at]);
+        world.close(first);
+        world.pass(200 * MS);
+        let second = watch(&world);
+        assert_eq!(world.raw(second), b"tail 1\n", "broken off at {at}");
+        // In two pieces, cut at the same place.
+        world.bytes(second, &line.as_bytes()[..at]);
+        world.bytes(second, &line.as_bytes()[at..]);
+        world.bytes(second, line.as_bytes());
+        world.bytes(second, b"2\n");
+        assert_eq!(watch(&world), second, "an event that comes twice harms nothing");
+        assert_eq!(goes_to(&mut world, 1), Some(server_b()));
+    }
+}
+
+/// Numbers that go back are of what was told before.
+#[test]
+fn numbers_that_go_back_change_nothing() {
+    let mut world = World::new();
+    let conn = watch(&world);
+    world.bytes(conn, drains(2).as_bytes());
+    world.bytes(conn, hosts(1, true, &endpoint("s-a", "127.0.1.1:5070", "up")).as_bytes());
+    world.bytes(conn, b"0\n1\n2\n");
+    assert_eq!(watch(&world), conn);
+    assert_eq!(goes_to(&mut world, 1), Some(server_b()));
+}
+
+/// A service that takes no connection up for 8 s: the next dial begins soon after the last one's end, so that the list
+/// is there again within 2 s of the service's return, however late in a dial that was.
+#[test]
+fn behind_a_dial_that_took_its_time_there_is_no_further_pause() {
+    let mut world = World::new();
+    world.up.remove(&journal());
+    let first = watch(&world);
+    world.close(first);
+    let dials = dials_in_vain(&mut world, 8 * SECOND, false);
+    assert!(dials.len() > 6, "{dials:?}");
+    for pair in dials.windows(2) {
+        assert!(pair[1].0 - pair[0].1 <= 200 * MS, "{dials:?}");
+    }
+}
+
+/// A service that refuses connections for 8 s is asked ever more seldom, at least once a second, and not by all nodes
+/// in step.
+#[test]
+fn a_service_that_refuses_is_asked_seldom_and_by_each_node_in_its_own_step() {
+    let begun = |seed: &str| {
+        let mut world = World::with(|text| text.replace("8c1f30d27a5be964", seed));
+        world.up.remove(&journal());
+        let first = watch(&world);
+        world.close(first);
+        dials_in_vain(&mut world, 8 * SECOND, true)
+    };
+    let (one, other) = (begun("8c1f30d27a5be900"), begun("8c1f30d27a5be9ff"));
+    for dials in [&one, &other] {
+        assert!((8..16).contains(&dials.len()), "{dials:?}");
+        assert!(dials.windows(2).all(|pair| pair[1].0 - pair[0].0 <= 1_200 * MS), "{dials:?}");
+    }
+    assert!((one[6].0 - other[6].0).abs() >= 200 * MS, "{one:?} {other:?}");
+}
+
+/// A line that can't be read, each time behind one that can: the service is not asked over and over without a pause,
+/// and calls are served meanwhile.
+#[test]
+fn a_line_that_is_spoilt_each_time_does_not_make_a_tight_loop() {
+    let mut world = World::new();
+    let mut asked = 0;
+    let mut seen = Vec::new();
+    for turn in 0..800 {
+        if let Some(conn) = world.to(journal()).first().copied().filter(|conn| !seen.contains(conn)) {
+            seen.push(conn);
+            asked += 1;
+            world.bytes(conn, b"1\n{\"pos\":2,\"hosts\":7}\n");
+            assert!(world.closed.contains(&conn));
+        }
+        world.pass(10 * MS);
+        if turn % 100 == 0 {
+            world.tell_lines();
+            assert!(goes_to(&mut world, turn).is_some(), "calls are served");
+        }
+    }
+    assert!((8..16).contains(&asked), "asked {asked} times in 8 s");
+    // It gets well.
+    let conn = (0..200).find_map(|_| {
+        world.pass(10 * MS);
+        world.to(journal()).first().copied()
+    });
+    world.bytes(conn.expect("it is asked again"), drains(2).as_bytes());
+    assert_eq!(goes_to(&mut world, 9_999), Some(server_b()));
+}
+
+/// The configuration moves the service while a dial to the old place is under way: that dial is given up, and a
+/// connection of it that comes up all the same is closed without a word on it.
+#[test]
+fn a_move_in_mid_connect_leaves_the_old_dial_behind() {
+    let mut world = World::down(|text| text);
+    world.input(Input::Timeout);
+    let (old, _) = *world.dials.iter().find(|(_, to)| *to == journal()).expect("a dial");
+    let moved = address("127.0.0.8:7070");
+    world.input(Input::JournalAt(moved));
+    assert!(
+        world.dials.iter().all(|(dial, to)| *dial != old && *to != journal()),
+        "the old dial is given up"
+    );
+    assert_eq!(world.dials.iter().filter(|(_, to)| *to == moved).count(), 1);
+    // It crossed that.
+    let late = ConnId(9_000);
+    world.input(Input::Dialled(old, late));
+    assert!(world.closed.contains(&late) && world.raw(late).is_empty());
+    world.input(Input::DialFailed { dial: old, refused: true });
+    // The same address once more begins nothing anew.
+    world.input(Input::JournalAt(moved));
+    assert_eq!(world.dials.iter().filter(|(_, to)| *to == moved).count(), 1);
+    world.up.insert(moved);
+    world.pass(MS);
+    let new = world.to(moved)[0];
+    assert_eq!(world.raw(new), b"tail 1\n");
+}
+
+/// Bytes without the end of a line are not news: a service that trickles, and one that only accepts, are given up
+/// like one that is silent.
+#[test]
+fn a_trickle_without_the_end_of_a_line_counts_as_silence() {
+    for trickles in [true, false] {
+        let mut world = World::new();
+        let first = watch(&world);
+        let line = drains(2);
+        for at in 0..24 {
+            if trickles && !world.closed.contains(&first) {
+                world.bytes(first, &line.as_bytes()[at..=at]);
+            }
+            world.pass(100 * MS);
+        }
+        assert!(world.closed.contains(&first));
+        let second = watch(&world);
+        assert_eq!(world.raw(second), b"tail 1\n");
+        world.bytes(second, line.as_bytes());
+        assert_eq!(goes_to(&mut world, 1), Some(server_b()));
+    }
+}
+
+/// A name that was removed stands no more for its old address, and the address serves under the new name.
+#[test]
+fn an_address_that_returns_under_a_new_name_is_the_new_servers() {
+    let mut world = World::new();
+    let conn = watch(&world);
+    let a = "127.0.1.1:5070";
+    let both = [endpoint("s-a", a, "removed"), endpoint("s-new", a, "up")];
+    world.bytes(conn, hosts(2, false, &both.join(",")).as_bytes());
+    world.bytes(conn, hosts(3, false, &endpoint("s-b", "127.0.1.2:5070", "removed")).as_bytes());
+    world.pass(300 * MS);
+    world.tell_lines();
+    assert_eq!(goes_to(&mut world, 1), Some(server_a()));
+    let Notice::Tables { servers, .. } = world.tables() else { unreachable!("a line on the tables") };
+    assert_eq!(servers, 1);
+}
