--- a/crates/lemoncleat-access/src/journal.rs
+++ b/crates/lemoncleat-access/src/journal.rs
@@ -146,7 +146,10 @@
             self.notice(Notice::JournalUp(address, pos));
         }
         match line {
-            JournalLine::Event(number, news) if number == pos + 1 => {
+            // A complete list holds whatever the events before it told.
+            JournalLine::Event(number, news)
+                if number > pos && (number - pos == 1 || news.as_ref().is_some_and(|news| news.complete)) =>
+            {
                 self.journal.pos = number;
                 if let Some(news) = news {
                     self.listed(news);
--- a/crates/lemoncleat-access/tests/watch.rs
+++ b/crates/lemoncleat-access/tests/watch.rs
@@ -166,6 +166,25 @@
     assert_eq!(goes_to(&mut world, 9_999), Some(server_b()));
 }
 
+/// The whole list holds what the events before it told: one that comes with a number further on is taken.
+#[test]
+fn a_complete_list_is_taken_whatever_its_number_left_out() {
+    let mut world = World::new();
+    let conn = watch(&world);
+    let both = [endpoint("s-a", "127.0.1.1:5070", "draining"), endpoint("s-b", "127.0.1.2:5070", "up")];
+    world.bytes(conn, hosts(7, true, &both.join(",")).as_bytes());
+    assert_eq!(watch(&world), conn);
+    assert_eq!(goes_to(&mut world, 1), Some(server_b()));
+    world.bytes(conn, b"7\n");
+    world.close(conn);
+    world.pass(200 * MS);
+    let next = watch(&world);
+    assert_eq!(world.raw(next), b"tail 7\n");
+    // A change whose number left something out is not.
+    world.bytes(next, drains(9).as_bytes());
+    assert!(world.closed.contains(&next));
+}
+
 /// The configuration moves the service while a dial to the old place is under way: that dial is given up, and a
 /// connection of it that comes up all the same is closed without a word on it.
 #[test]
