A connection closed for room while calls stand there is remembered like one given up

Read, in servers.rs: `make_room` closes the connection that is missed least, and where all have calls standing that is one of them. A release that its server wrote at that moment is lost with it; the server tells it again on the next connection that opens, but nothing opened one: the calls set up there counted towards no connection any more, so `surely_heard` took the server's other connections for proof that all was heard, and `refresh` was never due. `drop_server_conn` remembers such connections (`forsaken`); `make_room` did not.

Ruled out: a server left with no connection (dialled at the next look, 100 ms), a connection that the server closed (it is dialled at once), growth of the table (each entry ends with the last of its calls, a sound one with the next dial).

Change: `make_room` remembers it too, as sound: the server sees the close, so the next connection that comes up settles it, where one given up as silent goes on to be refreshed every 2 s as before.

Measured: a_release_that_crossed_a_close_for_room_is_heard_on_a_new_connection failed without it at "a new connection within 2.5 s".

--- a/crates/lemoncleat-access/src/servers.rs
+++ b/crates/lemoncleat-access/src/servers.rs
@@ -79,6 +79,15 @@
     partial: Option<Micros>,
 }
 
+/// A connection that this node gave up: its server may tell the end of calls there into nothing.
+struct Forsaken {
+    server: ServerId,
+    /// Calls that still stand of those set up there.
+    standing: usize,
+    /// Nothing was wrong with it: its server sees the close, and tells again on the next connection that opens.
+    sound: bool,
+}
+
 /// A dial under way, and the set-ups that wait for it.
 struct Dial {
     server: ServerId,
@@ -90,9 +99,8 @@
     all: BTreeMap<ServerId, Server>,
     by_name: BTreeMap<String, ServerId>,
     conns: BTreeMap<ConnId, ServerConn>,
-    /// Connections that this node gave up, with the calls that still stand of those set up there: their server may
-    /// not know, and tell their end into nothing.
-    forsaken: BTreeMap<ConnId, (ServerId, usize)>,
+    /// Connections that this node gave up while calls set up there stood.
+    forsaken: BTreeMap<ConnId, Forsaken>,
     dials: BTreeMap<DialId, Dial>,
     zones: Names,
     kinds: Names,
@@ -176,9 +184,9 @@
         let Some(id) = conn else { return };
         if let Some(conn) = self.conns.get_mut(&id) {
             conn.standing = conn.standing.saturating_add_signed(change);
-        } else if let Some((_, standing)) = self.forsaken.get_mut(&id) {
-            *standing = standing.saturating_add_signed(change);
-            if *standing == 0 {
+        } else if let Some(forsaken) = self.forsaken.get_mut(&id) {
+            forsaken.standing = forsaken.standing.saturating_add_signed(change);
+            if forsaken.standing == 0 {
                 self.forsaken.remove(&id);
             }
         }
@@ -189,7 +197,7 @@
     fn surely_heard(&self) -> BTreeMap<ServerId, Micros> {
         let conns = self.conns.values().filter(|conn| conn.standing > 0);
         let conns = conns.map(|conn| (conn.server, conn.heard_at));
-        let forsaken = self.forsaken.values().map(|&(server, _)| (server, 0));
+        let forsaken = self.forsaken.values().map(|forsaken| (forsaken.server, 0));
         let mut heard = BTreeMap::new();
         for (server, at) in conns.chain(forsaken) {
             let least = heard.entry(server).or_insert(at);
@@ -198,6 +206,14 @@
         heard
     }
 
+    /// A connection with calls standing of those set up there is given up.
+    fn forsake(&mut self, id: ConnId, gone: &ServerConn, sound: bool) {
+        if gone.standing > 0 {
+            let (server, standing) = (gone.server, gone.standing);
+            self.forsaken.insert(id, Forsaken { server, standing, sound });
+        }
+    }
+
     /// A set-up was written on a connection.
     pub(crate) fn opened(&mut self, conn: ConnId, call: CallId, now: Micros) {
         if let Some(conn) = self.conns.get_mut(&conn) {
@@ -430,6 +446,7 @@
             if let Some(server) = self.servers.all.get_mut(&gone.server) {
                 server.conns.remove(&least);
             }
+            self.servers.forsake(least, &gone, true);
             self.out.push(Output::Close(least));
         }
         true
@@ -486,6 +503,7 @@
             partial: None,
         };
         self.servers.conns.insert(conn, state);
+        self.servers.forsaken.retain(|_, forsaken| !(forsaken.sound && forsaken.server == done.server));
         for (id, called, cause) in owed {
             self.write_release(conn, &id, &called, cause);
         }
@@ -540,9 +558,7 @@
             server.conns.remove(&conn);
         }
         if let Some(why) = why {
-            if gone.standing > 0 {
-                self.servers.forsaken.insert(conn, (id, gone.standing));
-            }
+            self.servers.forsake(conn, &gone, false);
             self.out.push(Output::Close(conn));
             let server = self.servers.name(id);
             self.notice(Notice::ServerConn { server, why, open: gone.open.len() });
--- a/crates/lemoncleat-access/tests/answers.rs
+++ b/crates/lemoncleat-access/tests/answers.rs
@@ -96,3 +96,72 @@
         assert_eq!(world.answers.get(id).map(Vec::as_slice), Some(&[200][..]), "{id}");
     }
 }
+
+/// The list tells of one server.
+fn lists(world: &mut World, pos: u64, name: &str, address: &str, status: &str) {
+    let line = format!(
+        r#"{{"pos":{pos},"hosts":{{"endpoints":[{{"name":"{name}","address":"{address}","group":0,"status":"{status}"}}]}}}}"#
+    );
+    let watch = world.to(journal())[0];
+    world.bytes(watch, format!("{line}\n").as_bytes());
+}
+
+/// A connection closed for room may have borne a release at that moment: its server gets a new one, on which it tells
+/// it again, though it goes on telling its state on another.
+#[test]
+fn a_release_that_crossed_a_close_for_room_is_heard_on_a_new_connection() {
+    // Room for three connections to servers.
+    let mut world = World::with(|text| text.replace("\"sockets\":256", "\"sockets\":64"));
+    let (server_c, server_d) = ("127.0.1.3:5070", "127.0.1.4:5070");
+    world.up.extend([address(server_c), address(server_d)]);
+    lists(&mut world, 2, "s-b", "127.0.1.2:5070", "draining");
+    world.tell_lines();
+    let caller = world.caller();
+    // Two calls stand at the first server, each on a connection of its own.
+    let set_up = |world: &mut World, number: u64, open: &mut Vec<(lemoncleat_access::ConnId, _)>| {
+        world.bytes(caller, &invite(&format!("{number:016x}"), "voice", "dest:0;width:1;via:-1"));
+        let (_, conn, asked) = world.invited();
+        open.push((conn, asked));
+    };
+    let mut open = Vec::new();
+    set_up(&mut world, 1, &mut open);
+    set_up(&mut world, 2, &mut open);
+    let (first, second) = (open[0].0, open[1].0);
+    assert!(first != second && world.to(server_a()) == [first, second]);
+    for (conn, asked) in open.drain(..) {
+        world.bytes(conn, &ok(&asked));
+        world.pass(MS);
+    }
+    // Calls to new servers take the room of what is missed least: of the last server's, then of the first call's.
+    lists(&mut world, 3, "s-a", "127.0.1.1:5070", "draining");
+    lists(&mut world, 4, "s-c", server_c, "up");
+    set_up(&mut world, 3, &mut open);
+    assert!(world.to(server_b()).is_empty() && world.to(server_a()) == [first, second]);
+    lists(&mut world, 5, "s-c", server_c, "draining");
+    lists(&mut world, 6, "s-d", server_d, "up");
+    set_up(&mut world, 4, &mut open);
+    assert_eq!(world.to(server_a()), [second], "closed for room");
+    // The first call's release went there and was not read. All servers go on telling their state.
+    for (conn, asked) in open {
+        world.bytes(conn, &ok(&asked));
+    }
+    let fresh = (0..25).find_map(|_| {
+        world.pass(100 * MS);
+        for to in [server_a(), address(server_c), address(server_d)] {
+            for conn in world.to(to) {
+                world.bytes(conn, &notify("x0:40;x1:40"));
+            }
+        }
+        world
+            .every
+            .iter()
+            .rev()
+            .find(|(to, _)| *to == server_a())
+            .map(|(_, conn)| *conn)
+            .filter(|c| *c > second)
+    });
+    let fresh = fresh.expect("a new connection within 2.5 s");
+    world.read(caller);
+    world.bytes(fresh, &bye("0000000000000001", 16));
+    assert_eq!(methods(&world.read(caller)), [lemoncleat_sip::Method::Bye]);
+}
