A release that had no way to its server goes out once a connection there is heard again

Read, in servers.rs: `release_at_server` keeps a release (`owed`) where every connection to the server is in doubt, and only `server_dialled` wrote what was kept. A connection in doubt that is heard again is sound, is not replaced, and with no calls standing the server is not dialled either: the release stayed here, and the call went on at its server.

Ruled out: a server with no connection left (dialled within 100 ms, `wanted`), the bound of the list (`RELEASES`).

Change: what is owed is written on whatever connection brings a message as well.

Measured: a_release_that_had_no_way_goes_out_once_its_connection_is_heard_again failed without it with nothing written.

--- a/crates/lemoncleat-access/src/servers.rs
+++ b/crates/lemoncleat-access/src/servers.rs
@@ -489,7 +489,6 @@
         server.conns.insert(conn);
         (server.unreachable, server.pause) = (false, REDIAL.0);
         (server.fresh_at, server.heard_at) = (now, now);
-        let owed = std::mem::take(&mut server.owed);
         let state = ServerConn {
             server: done.server,
             reader: Reader::new(),
@@ -504,9 +503,7 @@
         };
         self.servers.conns.insert(conn, state);
         self.servers.forsaken.retain(|_, forsaken| !(forsaken.sound && forsaken.server == done.server));
-        for (id, called, cause) in owed {
-            self.write_release(conn, &id, &called, cause);
-        }
+        self.write_owed(conn, done.server);
         for call in done.waiting {
             let held = self.calls.get(&call);
             let late = held.filter(|call| call.attempts > 1).and_then(|call| call.attempt);
@@ -661,6 +658,16 @@
         }
     }
 
+    /// Writes the releases that had no way to a server until now.
+    fn write_owed(&mut self, conn: ConnId, server: ServerId) {
+        let Some(server) = self.servers.all.get_mut(&server).filter(|server| !server.owed.is_empty()) else {
+            return;
+        };
+        for (id, called, cause) in std::mem::take(&mut server.owed) {
+            self.write_release(conn, &id, &called, cause);
+        }
+    }
+
     /// Releases what may stand of a given-up attempt on a connection other than its own, if one is sound.
     pub(crate) fn release_elsewhere(&mut self, server: ServerId, id: &str, called: &str, but: ConnId) {
         if let Some(conn) = self.servers.sound_conn(server, Some(but)) {
@@ -688,6 +695,7 @@
                     if let Some(server) = self.servers.all.get_mut(&server) {
                         server.heard_at = now;
                     }
+                    self.write_owed(conn, server);
                     self.server_message(conn, server, message);
                 }
                 Ok(None) => {
--- a/crates/lemoncleat-access/tests/answers.rs
+++ b/crates/lemoncleat-access/tests/answers.rs
@@ -165,3 +165,27 @@
     world.bytes(fresh, &bye("0000000000000001", 16));
     assert_eq!(methods(&world.read(caller)), [lemoncleat_sip::Method::Bye]);
 }
+
+/// A release that comes while the only way to its server is in doubt goes out once that connection is heard again.
+#[test]
+fn a_release_that_had_no_way_goes_out_once_its_connection_is_heard_again() {
+    // One connection to each server.
+    let mut world = World::with(|text| text.replace("\"balancers\":2", "\"balancers\":300"));
+    lists(&mut world, 2, "s-b", "127.0.1.2:5070", "removed");
+    world.tell_lines();
+    let caller = world.caller();
+    let (_, conn) = world.standing_call(caller, ID);
+    // Two more are out; one of them is given up in silence, and the other keeps the connection open.
+    let (one, other) = ("00000000000000a1", "00000000000000a2");
+    world.bytes(caller, &invite_for(one, "voice", "dest:0;width:1;via:-1", "9000"));
+    world.bytes(caller, &invite_for(other, "voice", "dest:0;width:1;via:-1", "9000"));
+    assert_eq!(world.invites().len(), 2);
+    world.pass(200 * MS);
+    world.up.clear();
+    world.bytes(caller, &about(lemoncleat_sip::Method::Cancel, one));
+    world.raw(conn);
+    world.bytes(caller, &bye(ID, 16));
+    assert!(world.raw(conn).is_empty(), "in doubt");
+    world.bytes(conn, &notify("x0:40;x1:40"));
+    assert_eq!(methods(&world.read(conn)), [lemoncleat_sip::Method::Bye]);
+}
