A removed server that is still owed releases is not forgotten before they are written

Read, in servers.rs: `mind_server` forgets a server that is gone from the list once no call is counted there. A caller's release whose server had no connection at that moment is kept (`owed`) and its call counted no more, so the server and the release were dropped together, and the call went on at a process that lives on without taking new ones.

Ruled out: calls that stand (they hold the server), a server that is listed (it is dialled while it is owed something).

Change: a removed server is kept while something is owed to it. What ends that: a connection, a refused dial with no connection left, another server at its address, or the 5 s after which one that can't be reached counts as vanished.

Measured: a_release_owed_to_a_removed_server_is_written_before_it_is_forgotten failed without it (only the earlier ACK was ever written); it also shows that one whose process is gone leaves the table.

--- a/crates/lemoncleat-access/src/servers.rs
+++ b/crates/lemoncleat-access/src/servers.rs
@@ -537,7 +537,7 @@
             self.end_attempt(call, Outcome::Unreachable, Reason::None, Report::default());
         }
         if dead {
-            self.lose_standing(id, Micros::MAX, "its process is gone");
+            self.lose_server(id, "its process is gone");
         }
         self.mind_server(id);
     }
@@ -595,8 +595,8 @@
     fn mind_server(&mut self, id: ServerId) {
         let now = self.now;
         let Some(server) = self.servers.all.get(&id) else { return };
-        let needed = server.availability != Availability::Gone || server.standing > 0;
-        if !needed {
+        let held = server.standing > 0 || !server.owed.is_empty();
+        if server.availability == Availability::Gone && !held {
             let busy = server
                 .conns
                 .iter()
@@ -608,14 +608,21 @@
         }
         let bare = server.conns.is_empty() && server.dials.is_empty();
         if bare && server.displaced {
-            return self.lose_standing(id, Micros::MAX, "another server stands at its address");
+            return self.lose_server(id, "another server stands at its address");
         }
-        let wanted = server.standing > 0 || !server.owed.is_empty();
-        if bare && now >= server.dial_at && (!self.servers.is_full() || wanted && self.make_room(id)) {
+        if bare && now >= server.dial_at && (!self.servers.is_full() || held && self.make_room(id)) {
             self.dial_server(id);
         }
     }
 
+    /// The process that held a server's calls is no more: they are over, and there is nobody to release them to.
+    fn lose_server(&mut self, id: ServerId, why: &'static str) {
+        if let Some(server) = self.servers.all.get_mut(&id) {
+            server.owed.clear();
+        }
+        self.lose_standing(id, Micros::MAX, why);
+    }
+
     fn forget_server(&mut self, id: ServerId) {
         let Some(server) = self.servers.all.remove(&id) else { return };
         self.servers.by_name.remove(&server.name);
@@ -873,12 +880,16 @@
         for id in self.servers.in_own_order() {
             let Some(server) = self.servers.all.get(&id) else { continue };
             let held = server.standing > 0;
+            // One that is listed may come back and still hold what it is owed the releases of.
+            let owing = server.availability == Availability::Gone && !server.owed.is_empty();
             let check = if mute.contains(&id) && self.servers.room(id) { MUTE } else { CHECK };
             let heard = heard.get(&id).copied().unwrap_or(server.heard_at);
             let stale = held && now - server.fresh_at.max(heard) > check;
             // One that only takes nothing new goes on speaking of what it has.
             let vanished = server.unreachable && now - server.heard_at > VANISHED;
-            if held && vanished {
+            if owing && vanished {
+                self.lose_server(id, "it can't be reached");
+            } else if held && vanished {
                 self.lose_standing(id, Micros::MAX, "it can't be reached");
             } else if stale {
                 self.refresh(id);
--- a/crates/lemoncleat-access/tests/answers.rs
+++ b/crates/lemoncleat-access/tests/answers.rs
@@ -189,3 +189,33 @@
     world.bytes(conn, &notify("x0:40;x1:40"));
     assert_eq!(methods(&world.read(conn)), [lemoncleat_sip::Method::Bye]);
 }
+
+/// A caller's release while its server has no connection and is removed from the list: it goes out on the connection
+/// that comes up, and a server whose process is gone is forgotten all the same.
+#[test]
+fn a_release_owed_to_a_removed_server_is_written_before_it_is_forgotten() {
+    for comes_back in [true, false] {
+        let mut world = World::new();
+        world.tell_lines();
+        let caller = world.caller();
+        let (server, _) = world.standing_call(caller, ID);
+        let name = if server == server_a() { "s-a" } else { "s-b" };
+        world.up.remove(&server);
+        for conn in world.to(server) {
+            world.close(conn);
+        }
+        world.pass(100 * MS);
+        world.bytes(caller, &bye(ID, 16));
+        lists(&mut world, 2, name, &server.to_string(), "removed");
+        if comes_back {
+            world.up.insert(server);
+            world.pass(200 * MS);
+            let conn = world.every.iter().rev().find(|(to, _)| *to == server).expect("it is dialled").1;
+            assert_eq!(methods(&world.read(conn)), [lemoncleat_sip::Method::Bye]);
+        } else {
+            world.fail_dials(true);
+        }
+        let told = world.tables();
+        assert!(matches!(told, lemoncleat_access::Notice::Tables { servers: 1, .. }), "{told}");
+    }
+}
