A server whose address a later one bears is not dialled, though its own end is not told yet

Read, in servers.rs: `displace` kept a server from being dialled at an address that another one bears only once it was itself told gone.

Ruled out: connections from before (they are the old process's own and end with it), servers told gone (as before).

Change: of several listed servers at one address only the last listed is dialled.

Measured: no_set_up_reaches_a_new_server_under_the_name_that_its_address_had failed without it with two connections to the address where the new server's one was expected.

--- a/crates/lemoncleat-access/src/servers.rs
+++ b/crates/lemoncleat-access/src/servers.rs
@@ -46,7 +46,7 @@
 impl Server {
     fn notice(&self) -> Notice {
         let listed = match (self.displaced, self.availability) {
-            (true, _) => "gone, another stands at its address",
+            (true, _) => "another stands at its address",
             (_, Availability::Ready) => "takes calls",
             (_, Availability::Draining) => "drains",
             (_, Availability::Gone) => "gone",
@@ -373,13 +373,15 @@
         id
     }
 
-    /// Servers that are gone and at whose address another one stands are not to be dialled there any more.
+    /// Servers at whose address another one stands are not to be dialled there any more: those that are gone, and those
+    /// that were listed before it and whose end is still to be told.
     fn displace(&mut self) {
-        let here = self.servers.all.values().filter(|server| server.availability != Availability::Gone);
-        let taken: BTreeSet<SocketAddr> = here.map(|server| server.address).collect();
+        let here = self.servers.all.iter().filter(|(_, server)| server.availability != Availability::Gone);
+        // Numbers grow: of several at one address the last listed is kept.
+        let last: BTreeMap<SocketAddr, ServerId> = here.map(|(id, server)| (server.address, *id)).collect();
         let mut dials = Vec::new();
-        for server in self.servers.all.values_mut() {
-            server.displaced = server.availability == Availability::Gone && taken.contains(&server.address);
+        for (id, server) in &mut self.servers.all {
+            server.displaced = last.get(&server.address).is_some_and(|last| last != id);
             if server.displaced {
                 dials.extend(std::mem::take(&mut server.dials));
             }
--- a/crates/lemoncleat-access/tests/watch.rs
+++ b/crates/lemoncleat-access/tests/watch.rs
@@ -250,3 +250,26 @@
     let Notice::Tables { servers, .. } = world.tables() else { unreachable!("a line on the tables") };
     assert_eq!(servers, 1);
 }
+
+/// A new server is listed at the address of one that is not told gone yet: what answers there is the new one, and no
+/// set-up for the old one may reach it.
+#[test]
+fn no_set_up_reaches_a_new_server_under_the_name_that_its_address_had() {
+    // Calls of this class go to the first pool only; the new server stands in the second.
+    let mut world = World::with(|text| text.replace("[[0,1],[0,1]]", "[[0],[0,1]]"));
+    world.tell_lines();
+    assert_eq!(goes_to(&mut world, 1), Some(server_a()));
+    let new = endpoint("s-new", "127.0.1.1:5070", "up").replace("\"group\":0", "\"group\":1");
+    let conn = watch(&world);
+    let old = world.to(server_a());
+    world.bytes(conn, hosts(2, false, &new).as_bytes());
+    for conn in old {
+        world.close(conn);
+    }
+    world.pass(300 * MS);
+    assert_eq!(world.to(server_a()).len(), 1, "the new server's");
+    world.tell_lines();
+    assert_eq!(goes_to(&mut world, 2), None);
+    world.bytes(conn, hosts(3, false, &endpoint("s-a", "127.0.1.1:5070", "removed")).as_bytes());
+    assert_eq!(goes_to(&mut world, 3), None);
+}
