Diameter front: calls are released and told before a stopping node leaves

Seen with a node under a virtual clock: told to stop while its only client held calls, it sent DPR to its servers as soon as that client's connection was lost, and was done, with no STR for any call. `finish_stopping` counted clients with a connection and left the servers when there was none; `peer_down` set no return timer while stopping, so nobody released the calls, and what `client_is_gone` released after the DPR would only have been owed. The same held for a client that was away when the node was told to stop. A third fault lay beside it: `cut` ended the call first, whose removal ended the client's connection (its last call was over), so that the ASR found a closing connection and was never sent; at the end of the drain and on a server's ASR the client heard a bare DPR.

Ruled out: waiting out the drain for such a client. A stopping node takes no connection, so it can't come back, and its calls would stand at their servers for the drain's minute.

Changed: a client without a connection at the stop, or lost after it, is gone and its calls are released; servers are left when no call is left, or when the time for stopping is over; a client is told of a cut before the call is removed.

--- a/crates/lemoncleat-node/src/node/calls.rs
+++ b/crates/lemoncleat-node/src/node/calls.rs
@@ -573,8 +573,9 @@
         let (client, session) = (call.client, call.session.clone());
         let host = call.request.host.clone();
         self.stats.cut += 1;
-        self.end_standing(id, CAUSE_ADMINISTRATIVE, Outcome::Reset, why);
+        // First: while the node stops, the end of its last call ends the client's connection.
         self.tell_cut(client, &host, &session);
+        self.end_standing(id, CAUSE_ADMINISTRATIVE, Outcome::Reset, why);
     }
 
     /// Tells a client that a call of its is over.
--- a/crates/lemoncleat-node/src/node/peers.rs
+++ b/crates/lemoncleat-node/src/node/peers.rs
@@ -361,6 +361,9 @@
             (Role::Member(_), _) => return,
         };
         if self.stopping {
+            if role == Role::Client {
+                self.client_is_gone(id);
+            }
             self.finish_stopping(false);
         } else {
             self.wheel.set(self.now + grace, Timer::Return(id, epoch));
--- a/crates/lemoncleat-node/src/node/stopping.rs
+++ b/crates/lemoncleat-node/src/node/stopping.rs
@@ -10,6 +10,13 @@
         self.stopping = true;
         self.notice(Notice::Stopping(self.standing));
         self.wheel.set(self.now + self.settings.timing.drain, Timer::Drained);
+        // No connection is taken any more: a client that is away does not come back here.
+        for index in 0..self.peers.len() {
+            let slot = &self.peers[index];
+            if slot.role == Role::Client && slot.peer.connection().is_none() {
+                self.client_is_gone(PeerId(index as u32));
+            }
+        }
         self.finish_stopping(false);
     }
 
@@ -31,7 +38,8 @@
             }
         }
         let clients_open = self.end_peers(|slot| slot.role == Role::Client && slot.calls == 0);
-        if clients_open > 0 && !at_once {
+        // While a call is left its server is owed a release, or an answer of it is waited for.
+        if (clients_open > 0 || !self.calls.is_empty()) && !at_once {
             return;
         }
         // The fleet is of use until the last call is over, and is not waited for.
--- /dev/null
+++ b/crates/lemoncleat-node/tests/endings.rs
@@ -0,0 +1,87 @@
+//! What is owed at the moment at which something ends: a client's connection, a transaction, the node itself.
+
+mod common;
+
+use common::{settings, Bench, MS};
+use lemoncleat_diameter::dictionary as d;
+use lemoncleat_diameter::result_code as code;
+use lemoncleat_node::{ConnId, Input};
+
+/// A server, a client, and a call of the client that stands.
+fn one_standing() -> (Bench, ConnId, ConnId) {
+    let mut bench = Bench::new(settings());
+    let server = bench.server("a.example");
+    let client = bench.client("front.example");
+    stands(&mut bench, client, server, "s;1");
+    (bench, server, client)
+}
+
+/// A call comes to stand; its End-to-End Identifier.
+fn stands(bench: &mut Bench, client: ConnId, server: ConnId, session: &str) -> u32 {
+    let id = bench.call(client, session);
+    let attempt = bench.one(server, "AAR");
+    bench.answer(server, &attempt, code::SUCCESS);
+    assert_eq!(bench.one(client, "AAA").result(), code::SUCCESS);
+    id
+}
+
+/// What an end got, watchdogs left out, as names and sessions.
+fn got(bench: &mut Bench, conn: ConnId) -> Vec<(&'static str, String)> {
+    let all = bench.answer_watchdogs(conn);
+    all.iter().map(|got| (got.name(), got.session())).collect()
+}
+
+// ---- The end of the node ----
+
+#[test]
+fn a_client_lost_while_the_node_stops_has_its_calls_released_before_the_servers_are_left() {
+    let (mut bench, server, client) = one_standing();
+    stands(&mut bench, client, server, "s;2");
+    bench.call(client, "s;3");
+    bench.one(server, "AAR");
+    bench.input(Input::Stop);
+    assert!(bench.take(server).is_empty(), "calls are left");
+    bench.input(Input::Closed(client));
+    let mut all = got(&mut bench, server);
+    let last = all.pop().map(|(name, _)| name);
+    all.sort();
+    let released = ["s;1", "s;2", "s;3"].map(|session| ("STR", session.to_owned()));
+    assert_eq!((all, last), (released.to_vec(), Some("DPR")));
+    let stats = bench.node.stats();
+    assert_eq!((stats.standing, stats.setting_up), (0, 0));
+}
+
+#[test]
+fn calls_of_a_client_that_is_away_when_the_node_stops_are_released() {
+    let (mut bench, server, client) = one_standing();
+    stands(&mut bench, client, server, "s;2");
+    bench.input(Input::Closed(client));
+    bench.pass(100 * MS);
+    bench.input(Input::Stop);
+    let mut all = got(&mut bench, server);
+    assert_eq!(all.pop().map(|(name, _)| name), Some("DPR"));
+    all.sort();
+    assert_eq!(all, ["s;1", "s;2"].map(|session| ("STR", session.to_owned())));
+}
+
+#[test]
+fn a_call_cut_at_the_end_of_the_drain_is_told_to_its_client_before_the_connection_is_ended() {
+    let (mut bench, server, client) = one_standing();
+    bench.input(Input::Stop);
+    let mut at_client = Vec::new();
+    for _ in 0..650 {
+        bench.pass(100 * MS);
+        bench.answer_watchdogs(server);
+        at_client.extend(got(&mut bench, client).into_iter().map(|(name, _)| name));
+    }
+    assert_eq!(at_client, ["ASR", "DPR"]);
+}
+
+#[test]
+fn a_call_that_its_server_aborts_while_the_node_stops_is_told_to_its_client() {
+    let (mut bench, server, client) = one_standing();
+    bench.input(Input::Stop);
+    let request = common::session_request(d::CMD_ABORT_SESSION, "a.example", Some("node.example"), "s;1", 70);
+    bench.bytes(server, &request);
+    assert_eq!(bench.names(client), ["ASR", "DPR"]);
+}
