Diameter front: requests that cross the node's own DPR are answered

Read and then seen: `Peer::open_message` dropped every request in state Closing (`(_, true) if self.state == State::Closing => {}`), also those that a client had written before it read the node's DPR. A node told to stop sends DPR at once to each client without a call, so a set-up on its way at that moment had no answer at all.

Ruled out: sending the DPR later; some request crosses it whenever it is sent. RFC 6733 section 5.4 leaves such requests open; a client that waits for the connection to end before it tries elsewhere loses that time.

Changed: after the node's own DPR requests of the peer go to the application as before, which refuses set-ups with 3004 while the node stops; the client's DPA stands behind them in its stream, so that the answers are given before the connection is closed. After a DPR of the peer's own its requests are dropped as before. Requests of servers and members on a closing connection are not taken: their calls are over.

Result: without the change requests_that_cross_the_nodes_dpr_are_answered got no message where AAA 3004 and STA 5002 are due.

--- a/crates/lemoncleat-node/src/node/calls.rs
+++ b/crates/lemoncleat-node/src/node/calls.rs
@@ -9,7 +9,12 @@
         if !message.header.is_request() {
             return self.answered(peer, message);
         }
-        let role = self.peers[peer.0 as usize].role;
+        let slot = &self.peers[peer.0 as usize];
+        let role = slot.role;
+        if role != Role::Client && !slot.peer.is_open() {
+            // It crossed the node's DPR: calls of a server are over by then, and words are not waited for.
+            return;
+        }
         if let Err(fault) = self.acceptable(role, message) {
             self.stats.turned_away += 1;
             let host = self.host(peer);
--- a/crates/lemoncleat-node/tests/endings.rs
+++ b/crates/lemoncleat-node/tests/endings.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{settings, Bench, MS};
+use common::{aar, settings, str_of, Bench, MS};
 use lemoncleat_diameter::dictionary as d;
 use lemoncleat_diameter::result_code as code;
 use lemoncleat_node::{ConnId, Input};
@@ -85,3 +85,24 @@
     bench.bytes(server, &request);
     assert_eq!(bench.names(client), ["ASR", "DPR"]);
 }
+
+// ---- A DPR of the node ----
+
+#[test]
+fn requests_that_cross_the_nodes_dpr_are_answered() {
+    let (mut bench, _server, client) = one_standing();
+    let idle = bench.client("other.example");
+    bench.input(Input::Stop);
+    assert_eq!(bench.names(idle), ["DPR"]);
+    // Written before the DPR was read.
+    bench.bytes(idle, &aar("other.example", "s;late", 31, 31, false));
+    bench.bytes(idle, &str_of("other.example", "s;unknown", 32));
+    let answers = bench.take(idle);
+    let answers: Vec<_> = answers.iter().map(|got| (got.name(), got.result())).collect();
+    assert_eq!(answers, [("AAA", code::TOO_BUSY), ("STA", code::UNKNOWN_SESSION_ID)]);
+    // And on a connection whose last call has just ended.
+    bench.bytes(client, &str_of("front.example", "s;1", 33));
+    bench.names(client);
+    bench.call(client, "s;2");
+    assert_eq!(bench.one(client, "AAA").result(), code::TOO_BUSY);
+}
