Diameter front: a call moves whole to the client whose connection repeats its request

Read: a repeat is known by Origin-Host and End-to-End Identifier, so it may come by another peer than the first, as when an origin behind two relays fails over (RFC 6733 section 5.5.4). `set_up` then changed the call's client but not the two peers' counts of calls, and `reply_again` changed its connection but not its client. Seen: the first peer's count stayed above zero for ever, so that a stopping node waited for it until the end of the drain, while the second one's count was too low and its connection was ended with a call on it; and a standing call whose answer the second peer had fetched was released when the first one did not come back.

Ruled out: leaving the call with the first peer. Its answer, a later ASR and the release at the loss of a client all belong to the connection on which the request lives now.

Changed: one function, `move_call`, sets connection and client and moves the count; a repeat of a pending request, one of an answered request, and one that comes too late (told with an ASR) all go through it.

Result: without the change a_request_that_moves_to_another_peer_takes_its_call_along got nothing where the first peer's DPR is due, and an_answer_fetched_by_another_peer_leaves_the_call_with_that_peer saw the standing call released with two STR. With it all tests of lemoncleat-node pass.

--- a/crates/lemoncleat-node/src/node/calls.rs
+++ b/crates/lemoncleat-node/src/node/calls.rs
@@ -106,15 +106,16 @@
             Seen::New => {}
             Seen::Pending((id, _)) => {
                 self.stats.repeats += 1;
+                // The same call, on a newer connection: the one answer goes there.
                 if let Some(call) = self.calls.get_mut(&id) {
-                    // The same call, on a newer connection: the one answer goes there.
-                    (call.client, call.conn, call.hop_by_hop) = (client, conn, message.header.hop_by_hop);
+                    call.hop_by_hop = message.header.hop_by_hop;
                 }
-                return;
+                return self.move_call(id, client, conn);
             }
             Seen::Answered(of, answer) => {
                 self.stats.repeats += 1;
-                return self.reply_again(conn, message.header.hop_by_hop, of, &request, &answer);
+                let at = (client, conn, message.header.hop_by_hop);
+                return self.reply_again(at, of, &request, &answer);
             }
         }
         if !self.is_open(deadline) {
@@ -191,6 +192,19 @@
         }));
     }
 
+    /// A call's request came again on this connection, by whichever client: the call is that client's from now on.
+    pub(super) fn move_call(&mut self, id: u64, client: PeerId, conn: ConnId) {
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        call.conn = conn;
+        let before = std::mem::replace(&mut call.client, client);
+        let at = &mut self.peers[before.0 as usize].calls;
+        *at = at.saturating_sub(1);
+        self.peers[client.0 as usize].calls += 1;
+        if self.stopping && before != client {
+            self.finish_stopping(false);
+        }
+    }
+
     pub(super) fn session_terminated(&mut self, conn: ConnId, message: &MessageRef<'_>) {
         let session = message.text(d::SESSION_ID).unwrap_or_default();
         let call = self.sessions.get(session).copied();
--- a/crates/lemoncleat-node/src/node/door.rs
+++ b/crates/lemoncleat-node/src/node/door.rs
@@ -63,8 +63,7 @@
     /// A request came again whose answer is known: the same answer, as long as the caller waits for it.
     pub(super) fn reply_again(
         &mut self,
-        conn: ConnId,
-        hop_by_hop: u32,
+        (client, conn, hop_by_hop): (PeerId, ConnId, u32),
         (id, deadline): (u64, Deadline),
         request: &EndToEnd,
         answer: &[u8],
@@ -81,6 +80,7 @@
                 .get(&id)
                 .is_some_and(|call| call.request == *request && call.standing.is_some() && call.conn != conn);
             if unheard {
+                self.move_call(id, client, conn);
                 self.cut(id, "its answer was not heard in time");
             }
             return;
@@ -91,7 +91,8 @@
         }
         if self.answer_set_up(conn, Some(deadline), bytes) {
             if let Some(call) = self.calls.get_mut(&id).filter(|call| call.request == *request) {
-                (call.unheard, call.conn) = (false, conn);
+                call.unheard = false;
+                self.move_call(id, client, conn);
             }
         }
     }
--- a/crates/lemoncleat-node/tests/endings.rs
+++ b/crates/lemoncleat-node/tests/endings.rs
@@ -106,3 +106,44 @@
     bench.call(client, "s;2");
     assert_eq!(bench.one(client, "AAA").result(), code::TOO_BUSY);
 }
+
+// ---- Repeats ----
+
+#[test]
+fn a_request_that_moves_to_another_peer_takes_its_call_along() {
+    let mut bench = Bench::new(settings());
+    let server = bench.server("a.example");
+    let (first, second) = (bench.client("front.example"), bench.client("other.example"));
+    let id = bench.call(first, "s;1");
+    let attempt = bench.one(server, "AAR");
+    bench.input(Input::Closed(first));
+    // The request of an origin behind both peers comes again by the other one (RFC 6733 section 5.5.4).
+    bench.bytes(second, &aar("front.example", "s;1", 90, id, true));
+    bench.answer(server, &attempt, code::SUCCESS);
+    assert_eq!(bench.one(second, "AAA").result(), code::SUCCESS);
+    let first = bench.client("front.example");
+    bench.input(Input::Stop);
+    assert_eq!(bench.names(first), ["DPR"], "nothing is held for it any more");
+    assert!(bench.take(second).is_empty(), "its call stands");
+}
+
+#[test]
+fn an_answer_fetched_by_another_peer_leaves_the_call_with_that_peer() {
+    let mut bench = Bench::new(settings());
+    let server = bench.server("a.example");
+    let (first, second) = (bench.client("front.example"), bench.client("other.example"));
+    let id = stands(&mut bench, first, server, "s;1");
+    bench.input(Input::Closed(first));
+    bench.bytes(second, &aar("front.example", "s;1", 90, id, true));
+    assert_eq!(bench.one(second, "AAA").result(), code::SUCCESS);
+    let mut at_server = Vec::new();
+    for _ in 0..80 {
+        bench.pass(100 * MS);
+        at_server.extend(got(&mut bench, server));
+        bench.answer_watchdogs(second);
+    }
+    assert_eq!(at_server, [], "the call is not the lost peer's");
+    assert_eq!(bench.node.stats().standing, 1);
+    bench.input(Input::Stop);
+    assert!(bench.take(second).is_empty(), "its call stands");
+}
