Diameter front: a release sent again no longer ends a later attempt of the same call

Read and then seen: all attempts of a call have its Session-Id, and a release that stays unanswered for 2 s is sent again (`unanswered`), as is one whose connection was lost (`peer_down` owes it, `peer_open` pays). Neither looked whether a later attempt of the call was out or stood at that very server by then. With one server, a first attempt timed out and its STR unanswered, the second attempt stood, and the repeated STR ended it at the server, while client and node went on with a call that was gone. The path of a late success did look.

Ruled out: the first STR, which stands before the second AAR in the same stream and so ends only the first attempt.

Changed: the look is a function of its own, `is_at`, and all three paths use it. A release that is due again meanwhile is looked at once more 2 s later, within the same number of tries, because that attempt may fail.

Result: without the change a_release_sent_again_does_not_end_a_later_attempt_of_the_same_call got three STR for the standing call and a_release_owed_over_a_lost_connection_does_not_end_a_later_attempt_of_the_same_call two, where none is due. With it all tests of lemoncleat-node pass.

--- a/crates/lemoncleat-node/src/node/calls.rs
+++ b/crates/lemoncleat-node/src/node/calls.rs
@@ -386,11 +386,27 @@
     /// A request of the node that stayed unanswered for its time.
     pub(super) fn unanswered(&mut self, peer: PeerId, id: u32) {
         let Some(slot) = self.peers.get_mut(peer.0 as usize) else { return };
-        if let Some(Request::Release { session, cause, tries }) = slot.requests.finish(id) {
-            if tries + 1 < RELEASE_TRIES {
-                self.release(peer, &session, cause, tries + 1);
-            }
+        let Some(Request::Release { session, cause, tries }) = slot.requests.finish(id) else { return };
+        if tries + 1 >= RELEASE_TRIES {
+            return;
         }
+        if !self.is_at(peer, &session) {
+            return self.release(peer, &session, cause, tries + 1);
+        }
+        // Looked at again later: should that attempt fail, the earlier one is still to be released.
+        let Some(slot) = self.peers.get_mut(peer.0 as usize) else { return };
+        let again = slot.requests.begin(Request::Release { session, cause, tries: tries + 1 });
+        let timer = Timer::Late(peer, slot.epoch, again);
+        self.wheel.set(self.now + RELEASE_AGAIN, timer);
+    }
+
+    /// Whether a later attempt of a call that was given up at a server is out or stands at that very server: it has
+    /// the same session, which a release of the earlier attempt would end.
+    pub(super) fn is_at(&self, peer: PeerId, session: &str) -> bool {
+        let call = self.sessions.get(session).and_then(|call| self.calls.get(call));
+        call.is_some_and(|call| {
+            call.standing.is_some_and(|(_, at)| at == peer) || call.out.is_some_and(|out| out.peer == peer)
+        })
     }
 
     /// Asks a server to release a session, now or when it is back.
@@ -453,13 +469,7 @@
                     self.stats.late += 1;
                     let host = self.host(peer);
                     self.notice(Notice::LateAnswer(host));
-                    // A later attempt of the same call may stand at this very server by now.
-                    let stands = self.sessions.get(&session).and_then(|call| self.calls.get(call));
-                    let used = stands.is_some_and(|call| {
-                        call.standing.is_some_and(|(_, at)| at == peer)
-                            || call.out.is_some_and(|out| out.peer == peer)
-                    });
-                    if !used {
+                    if !self.is_at(peer, &session) {
                         self.release(peer, &session, CAUSE_NOT_PROVIDED, 0);
                     }
                 }
--- a/crates/lemoncleat-node/src/node/peers.rs
+++ b/crates/lemoncleat-node/src/node/peers.rs
@@ -281,7 +281,9 @@
             );
             if !restarted {
                 for session in owed {
-                    self.release(id, &session, CAUSE_LINK_BROKEN, 0);
+                    if !self.is_at(id, &session) {
+                        self.release(id, &session, CAUSE_LINK_BROKEN, 0);
+                    }
                 }
             }
         }
--- a/crates/lemoncleat-node/tests/endings.rs
+++ b/crates/lemoncleat-node/tests/endings.rs
@@ -2,9 +2,9 @@
 
 mod common;
 
-use common::{aar, settings, str_of, Bench, MS};
+use common::{aar, settings, str_of, Bench, Got, MS};
 use lemoncleat_diameter::dictionary as d;
-use lemoncleat_diameter::result_code as code;
+use lemoncleat_diameter::{result_code as code, MessageBuilder};
 use lemoncleat_node::{ConnId, Input};
 
 /// A server, a client, and a call of the client that stands.
@@ -147,3 +147,65 @@
     bench.input(Input::Stop);
     assert!(bench.take(second).is_empty(), "its call stands");
 }
+
+// ---- Releases ----
+
+#[test]
+fn a_release_sent_again_does_not_end_a_later_attempt_of_the_same_call() {
+    let (mut bench, server, client, attempt) = second_attempt();
+    bench.answer(server, &attempt, code::SUCCESS);
+    assert_eq!(bench.one(client, "AAA").result(), code::SUCCESS);
+    let mut at_server = Vec::new();
+    for _ in 0..60 {
+        bench.pass(100 * MS);
+        bench.answer_watchdogs(client);
+        at_server.extend(got(&mut bench, server));
+    }
+    assert_eq!(at_server, [], "the release of the first attempt ends the one session that there is");
+    assert_eq!(bench.node.stats().standing, 1);
+}
+
+#[test]
+fn a_release_owed_over_a_lost_connection_does_not_end_a_later_attempt_of_the_same_call() {
+    let (mut bench, server, client, attempt) = second_attempt();
+    bench.answer(server, &attempt, code::SUCCESS);
+    assert_eq!(bench.one(client, "AAA").result(), code::SUCCESS);
+    bench.input(Input::Closed(server));
+    bench.pass(300 * MS);
+    let server = bench.dialled("a.example", 1);
+    assert_eq!(got(&mut bench, server), []);
+    assert_eq!(bench.node.stats().standing, 1);
+}
+
+/// A call whose first attempt was given up, with the release unanswered, and whose second one is out at the same
+/// server, which answers watchdogs.
+fn second_attempt() -> (Bench, ConnId, ConnId, Got) {
+    let mut bench = Bench::new(settings());
+    let server = bench.server("a.example");
+    let client = bench.client("front.example");
+    let id = bench.id();
+    let request = MessageBuilder::request(d::CMD_AA, d::APP_NAS, true, id, id)
+        .add_str(d::SESSION_ID, "s;1")
+        .add_u32(d::AUTH_APPLICATION_ID, d::APP_NAS)
+        .add_str(d::ORIGIN_HOST, "front.example")
+        .add_str(d::ORIGIN_REALM, "example")
+        .add_str(d::DESTINATION_REALM, "example")
+        .add_u32(d::AUTH_REQUEST_TYPE, 1)
+        .add_str(d::CALLED_STATION_ID, "35101234")
+        .add_u32(d::SETUP_PATIENCE, 9_000);
+    bench.bytes(client, &request.build());
+    let mut all = Vec::new();
+    for _ in 0..800 {
+        bench.pass(10 * MS);
+        bench.answer_watchdogs(client);
+        all.extend(bench.answer_watchdogs(server));
+        let attempts = all.iter().filter(|got: &&Got| got.name() == "AAR").count();
+        if attempts == 2 {
+            break;
+        }
+    }
+    let names: Vec<_> = all.iter().map(Got::name).collect();
+    assert_eq!(names, ["AAR", "STR", "AAR"]);
+    let attempt = all.pop().expect("three messages");
+    (bench, server, client, attempt)
+}
