Diameter front: a server's answer that breaks off or is another call's is released, not passed on

Read and then seen: an answer was matched to its set-up by the Hop-by-Hop Identifier alone, and `success_answer` copied its AVPs up to the first one that can't be read. An AAA whose last AVP claims more bytes than the message has went to the client as a success without its description, and two answers with their Hop-by-Hop Identifiers exchanged gave each caller the other's session and description under its own End-to-End Identifier.

Ruled out: closing the connection. The frame is whole, so the stream can still be read, and other calls' answers are on it.

Changed: an answer to a set-up has to be readable to its end and, where it names a session, name the call's; a success has to name it. Otherwise the session is released at that server, the module hears of a reset (so the release wait holds before another attempt), and a warning is told.

--- a/crates/lemoncleat-node/src/node/calls.rs
+++ b/crates/lemoncleat-node/src/node/calls.rs
@@ -483,7 +483,18 @@
     }
 
     pub(super) fn set_up_answered(&mut self, id: u64, message: &MessageRef<'_>) {
-        let Some(out) = self.calls.get(&id).and_then(|call| call.out) else { return };
+        let Some((out, session)) =
+            self.calls.get(&id).and_then(|call| Some((call.out?, call.session.clone())))
+        else {
+            return;
+        };
+        if !translate::is_answer_for(message, &session) {
+            // Whether the call stands there is not known: it is released, and not passed on.
+            let host = self.host(out.peer);
+            self.notice(Notice::BadAnswer(host, message.header.hop_by_hop));
+            self.release_call(out.peer, out.circuit, &session, CAUSE_NOT_PROVIDED);
+            return self.attempt_ended(id, Outcome::Reset, Reason::None, None, false);
+        }
         let report = translate::report(message);
         if message.result_code() != code::SUCCESS {
             let (outcome, reason) = translate::outcome(message);
--- a/crates/lemoncleat-node/src/notice.rs
+++ b/crates/lemoncleat-node/src/notice.rs
@@ -43,6 +43,8 @@
     BadRequest(Arc<str>, u32, String),
     /// An answer belongs to no request.
     UnknownAnswer(Arc<str>, u32),
+    /// An answer to a set-up can't be read to its end, or is another call's; what it may stand for is released.
+    BadAnswer(Arc<str>, u32),
     /// A set-up that was given up succeeded late; it is released.
     LateAnswer(Arc<str>),
     /// The list changed.
@@ -141,6 +143,9 @@
             Notice::NoCapabilities(conn) => write!(f, "connection {}: no CER came", conn.0),
             Notice::BadRequest(host, code, why) => write!(f, "request of {host} refused with {code}: {why}"),
             Notice::UnknownAnswer(host, id) => write!(f, "answer of {host} to an unknown request {id:#010x}"),
+            Notice::BadAnswer(host, id) => {
+                write!(f, "answer of {host} to request {id:#010x} is malformed or another call's: released")
+            }
             Notice::LateAnswer(host) => write!(f, "late success of {host}: released"),
             Notice::Listed { ready, draining } => {
                 write!(f, "the list has {ready} servers, {draining} draining")
--- a/crates/lemoncleat-node/src/translate.rs
+++ b/crates/lemoncleat-node/src/translate.rs
@@ -23,6 +23,14 @@
     }
 }
 
+/// Whether an answer to a set-up can be read to its end and is the answer of the call of this session: what the node
+/// knows it by, the Hop-by-Hop Identifier, tells neither. A refusal may lack the session.
+pub(crate) fn is_answer_for(answer: &MessageRef<'_>, session: &str) -> bool {
+    answer.header.command == d::CMD_AA
+        && answer.avps().all(|avp| avp.is_ok())
+        && answer.text(d::SESSION_ID).map_or(answer.result_code() != code::SUCCESS, |named| named == session)
+}
+
 /// The load that an answer tells: the project's own AVPs, and where they lack a figure the Load report of
 /// the host (RFC 8583: the larger the value of 65,535 the less the load) and the overload report (RFC 7683).
 pub(crate) fn report(answer: &MessageRef<'_>) -> Option<Report> {
--- a/crates/lemoncleat-node/tests/endings.rs
+++ b/crates/lemoncleat-node/tests/endings.rs
@@ -209,3 +209,53 @@
     let attempt = all.pop().expect("three messages");
     (bench, server, client, attempt)
 }
+
+// ---- Answers that can't be read ----
+
+#[test]
+fn an_answer_that_breaks_off_is_not_passed_on_and_its_session_is_released() {
+    let whole = |bench: &mut Bench, server| -> (Vec<u8>, u32) {
+        let attempt = bench.one(server, "AAR");
+        let head = attempt.message().header;
+        let answer = MessageBuilder::answer(&attempt.message(), code::SUCCESS)
+            .add_str(d::ORIGIN_HOST, "a.example")
+            .add_str(d::ORIGIN_REALM, "example")
+            .add_str(d::ERROR_MESSAGE, "a description")
+            .build();
+        (answer, head.hop_by_hop)
+    };
+    let mut bench = Bench::new(settings());
+    let server = bench.server("a.example");
+    let client = bench.client("front.example");
+    bench.call(client, "s;1");
+    let (mut answer, _) = whole(&mut bench, server);
+    // The last AVP claims to be longer than what is left of the message.
+    let last = answer.len() - 24;
+    answer[last + 7] = 200;
+    bench.bytes(server, &answer);
+    assert_eq!(bench.names(client), [""; 0], "nothing that breaks off is passed on");
+    assert_eq!(got(&mut bench, server)[0], ("STR", "s;1".to_owned()));
+    assert_eq!(bench.node.stats().standing, 0);
+}
+
+#[test]
+fn answers_that_change_places_are_not_passed_on() {
+    let mut bench = Bench::new(settings());
+    let server = bench.server("a.example");
+    let client = bench.client("front.example");
+    bench.call(client, "s;1");
+    bench.call(client, "s;2");
+    let attempts = bench.take(server);
+    let hops: Vec<u32> = attempts.iter().map(|got| got.message().header.hop_by_hop).collect();
+    for (attempt, hop) in attempts.iter().zip(hops.iter().rev()) {
+        let mut answer = common::answer_of(attempt, code::SUCCESS);
+        answer[12..16].copy_from_slice(&hop.to_be_bytes());
+        bench.bytes(server, &answer);
+    }
+    assert_eq!(bench.names(client), [""; 0], "neither has an answer of its own");
+    let mut released = got(&mut bench, server);
+    released.sort();
+    released.dedup();
+    assert_eq!(released, ["s;1", "s;2"].map(|session| ("STR", session.to_owned())));
+    assert_eq!(bench.node.stats().standing, 0);
+}
