Of servers listed at one address the one that started last is dialled, in whatever order they stand

A complete list that names the newer process first would have kept the older one, whose process is gone.

Change: of several at one address the one that started last is kept, of those alike the last listed.

Measured: of_two_servers_listed_at_one_address_... failed without it with a set-up for the older one's pool written to the address, in the order with the newer first.

--- a/crates/lemoncleat-access/src/servers.rs
+++ b/crates/lemoncleat-access/src/servers.rs
@@ -377,8 +377,10 @@
     /// that were listed before it and whose end is still to be told.
     fn displace(&mut self) {
         let here = self.servers.all.iter().filter(|(_, server)| server.availability != Availability::Gone);
-        // Numbers grow: of several at one address the last listed is kept.
-        let last: BTreeMap<SocketAddr, ServerId> = here.map(|(id, server)| (server.address, *id)).collect();
+        // Of several at one address the one that started last is kept, of those alike the last listed: numbers grow.
+        let mut here: Vec<_> = here.map(|(id, server)| (server.started_at, *id, server.address)).collect();
+        here.sort_unstable();
+        let last: BTreeMap<SocketAddr, ServerId> = here.into_iter().map(|(_, id, at)| (at, id)).collect();
         let mut dials = Vec::new();
         for (id, server) in &mut self.servers.all {
             server.displaced = last.get(&server.address).is_some_and(|last| last != id);
--- a/crates/lemoncleat-access/tests/watch.rs
+++ b/crates/lemoncleat-access/tests/watch.rs
@@ -273,3 +273,29 @@
     world.bytes(conn, hosts(3, false, &endpoint("s-a", "127.0.1.1:5070", "removed")).as_bytes());
     assert_eq!(goes_to(&mut world, 3), None);
 }
+
+/// A list may name the newer of two servers at one address first: which of them stands there is told by their starts.
+#[test]
+fn of_two_servers_listed_at_one_address_the_one_that_started_last_is_there_in_whatever_order_they_stand() {
+    for newer_first in [true, false] {
+        let mut world = World::with(|text| text.replace("[[0,1],[0,1]]", "[[0],[0,1]]"));
+        let address = "127.0.1.1:5070";
+        let before = world.to(server_a());
+        let newer = endpoint("s-newer", address, "up")
+            .replace("\"since_ms\":0", "\"since_ms\":1700000000000")
+            .replace("\"group\":0", "\"group\":1");
+        let mut both = [newer, endpoint("s-older", address, "up")];
+        if !newer_first {
+            both.reverse();
+        }
+        let conn = watch(&world);
+        world.bytes(conn, hosts(2, true, &both.join(",")).as_bytes());
+        for conn in before {
+            world.close(conn);
+        }
+        world.pass(300 * MS);
+        assert_eq!(world.to(server_a()).len(), 1, "newer first: {newer_first}");
+        // The class may go to the older one's pool only.
+        assert_eq!(goes_to(&mut world, 1), None, "newer first: {newer_first}");
+    }
+}
