An answer that trickles in is not cut off 400 ms after its first byte

Read, in servers.rs: `partial` kept the moment at which the first byte of an unfinished message came, and the look at connections closed one whose message was 400 ms old as "stopped short", though bytes were still coming. The answer was thrown away, the attempt ended as one that may have run, and with it all else that was open on the connection.

Ruled out: answers that do stop (closed 400 ms after their last byte, tested behind each byte), that break off by a close (tested behind each byte), and a message that trickles without an end: a set-up given up behind it puts the connection in doubt, so it gets no more, and a message is bounded at 16 KiB. How long a set-up waits is the module's to say.

Change: the moment of the last piece counts.

Measured: an_answer_that_is_cut_at_any_byte_or_trickles_is_passed_on_whole failed without it where the answer came a byte every 3 ms: none was passed on.

--- a/crates/lemoncleat-access/src/servers.rs
+++ b/crates/lemoncleat-access/src/servers.rs
@@ -76,6 +76,7 @@
     /// When the first set-up went out since.
     asked_at: Option<Micros>,
     used_at: Micros,
+    /// When the last piece of a message came whose rest is missing.
     partial: Option<Micros>,
 }
 
@@ -710,7 +711,8 @@
                     self.server_message(conn, server, message);
                 }
                 Ok(None) => {
-                    state.partial = state.reader.is_partial().then(|| state.partial.unwrap_or(now));
+                    // What trickles has not stopped: how long a set-up may wait for it is the module's to say.
+                    state.partial = state.reader.is_partial().then_some(now);
                     return;
                 }
                 Err(malformed) => {
--- a/crates/lemoncleat-access/tests/answers.rs
+++ b/crates/lemoncleat-access/tests/answers.rs
@@ -219,3 +219,74 @@
         assert!(matches!(told, lemoncleat_access::Notice::Tables { servers: 1, .. }), "{told}");
     }
 }
+
+/// An answer in two pieces, cut behind each of its bytes, and one that comes byte by byte and slowly: it is passed on
+/// whole, once.
+#[test]
+fn an_answer_that_is_cut_at_any_byte_or_trickles_is_passed_on_whole() {
+    for at in 0.. {
+        // The module does not look for another way meanwhile.
+        let mut world = World::with(|text| text.replace("\"cancelling\":true", "\"cancelling\":false"));
+        let caller = world.caller();
+        world.bytes(caller, &invite(ID, "voice", "dest:0;width:1;via:-1"));
+        let (_, conn, asked) = world.invited();
+        let answer = ok(&asked);
+        if at < answer.len() {
+            world.bytes(conn, &answer[..at]);
+            world.pass(50 * MS);
+            world.bytes(conn, &answer[at..]);
+        } else {
+            for byte in &answer {
+                world.bytes(conn, std::slice::from_ref(byte));
+                world.pass(3 * MS);
+            }
+        }
+        let answers = world.read(caller);
+        assert_eq!((codes(&answers), answers[0].body()), (vec![200], ANSWER), "cut at {at}");
+        assert_eq!(methods(&world.read(conn)), [lemoncleat_sip::Method::Ack]);
+        if at == answer.len() {
+            break;
+        }
+    }
+}
+
+/// An answer that breaks off behind any of its bytes, by a close: the attempt is over, what is passed on is another
+/// server's answer or a refusal, never a part.
+#[test]
+fn an_answer_that_breaks_off_at_any_byte_is_never_passed_on() {
+    for at in 0.. {
+        let mut world = World::new();
+        let caller = world.caller();
+        world.bytes(caller, &invite(ID, "voice", "dest:0;width:1;via:-1"));
+        let (_, conn, asked) = world.invited();
+        let answer = ok(&asked);
+        if at == answer.len() {
+            break;
+        }
+        world.bytes(conn, &answer[..at]);
+        world.close(conn);
+        world.pass(2 * SECOND);
+        let answers = world.read(caller);
+        assert_eq!(codes(&answers).len(), 1, "broken off at {at}");
+        assert!(codes(&answers)[0] >= 300, "broken off at {at}");
+    }
+}
+
+/// An answer that stops within any of its bytes while the connection stays open: the attempt does not wait for the
+/// rest until its caller's time is over.
+#[test]
+fn an_answer_that_stops_at_any_byte_ends_its_attempt() {
+    for at in 1.. {
+        let mut world = World::new();
+        let caller = world.caller();
+        world.bytes(caller, &invite(ID, "voice", "dest:0;width:1;via:-1"));
+        let (_, conn, asked) = world.invited();
+        let answer = ok(&asked);
+        if at == answer.len() {
+            break;
+        }
+        world.bytes(conn, &answer[..at]);
+        world.pass(600 * MS);
+        assert!(world.closed.contains(&conn), "stopped at {at}");
+    }
+}
