Settings that leave a class without its pools, or two with one name, are refused

Read, in settings.rs of lemoncleat-platform: a class beyond the end of `allowed_pools` got `None`, which means that any server may take it, so set-ups of it would have gone to servers to which they may not go; of two classes of one name `X-Cos` can only ever mean the first, so one customer's settings would have held for the other.

Ruled out: settings with no such list at all (any server may take any class, as before), lists longer than the classes, and the other fields that go by class: `call_length_us` is only a mean and reads as not known, `dedup_window_us` and `effect` err on the strict side.

Change: both are refused in one line with the path, what was expected and what stands there; at start the program ends with it, at a reload the configuration in force stays.

Measured: settings_that_leave_a_class_without_its_pools_or_name_are_refused failed without it, the configuration was taken.

--- a/crates/lemoncleat-platform/src/config.rs
+++ b/crates/lemoncleat-platform/src/config.rs
@@ -104,6 +104,7 @@
     /// When it is no JSON or lacks something, with the place and the path of the field.
     pub fn read(text: &str) -> Result<Self, String> {
         let config: Config = crate::json::read(text)?;
+        config.settings.check().map_err(|error| format!("settings.{error}"))?;
         let seed = match config.seed {
             Seed::Number(seed) => seed,
             Seed::Text(text) => u64::from_str_radix(&text, 16)
--- a/crates/lemoncleat-platform/src/settings.rs
+++ b/crates/lemoncleat-platform/src/settings.rs
@@ -140,11 +140,38 @@
     ///
     /// When they are no JSON or lack something, with the place and the path of the field.
     pub fn read(text: &str) -> Result<Self, String> {
-        crate::json::read::<SettingsConfig>(text).map(SettingsConfig::translate)
+        let config: SettingsConfig = crate::json::read(text)?;
+        config.check()?;
+        Ok(config.translate())
     }
 }
 
 impl SettingsConfig {
+    /// What can't be given a meaning: a class without its pools would go anywhere, and of two classes of one name one
+    /// could never be told.
+    ///
+    /// # Errors
+    ///
+    /// The path of the field within the settings, what was expected, and what stands there.
+    pub(crate) fn check(&self) -> Result<(), String> {
+        for (index, class) in self.classes.iter().enumerate() {
+            if let Some(other) = self.classes[..index].iter().position(|other| other.name == class.name) {
+                let name = &class.name;
+                return Err(format!(
+                    "classes[{index}].name: expected a name of its own, got {name:?} of classes[{other}]"
+                ));
+            }
+        }
+        let (pools, classes) = (self.family_info.allowed_pools.len(), self.classes.len());
+        let grouped = matches!(self.family_info.layout, Layout::Groups);
+        if grouped && pools > 0 && pools < classes {
+            return Err(format!(
+                "family_info.allowed_pools: expected a list for each of {classes} classes, got {pools}"
+            ));
+        }
+        Ok(())
+    }
+
     pub(crate) fn translate(self) -> SiteSettings {
         let config = self;
         let family = &config.family_info;
--- a/crates/lemoncleat-platform/tests/platform.rs
+++ b/crates/lemoncleat-platform/tests/platform.rs
@@ -114,3 +114,31 @@
     let mut names: Names = ["a", "b", "a"].iter().collect();
     assert_eq!((names.number("b"), names.number("c"), names.name(2), names.name(9)), (1, 2, Some("c"), None));
 }
+
+/// A class whose pools are not told could go anywhere, and one of two classes of one name could never be meant.
+#[test]
+fn settings_that_leave_a_class_without_its_pools_or_name_are_refused() {
+    let one = r#"{"aim_us":1500000,"deadline_us":9000000,"effect":"retryable","name":"browse","worth":1.0}"#;
+    assert!(SETTINGS.contains(one));
+    let with = |second: &str, pools: &str| {
+        config(|text| text.replace(one, &format!("{one},{second}")).replace("[[0,1]]", pools))
+    };
+    let second = one.replace("browse", "buy");
+    for (second, pools, expected) in [
+        (one, "[[0,1],[2]]", "settings.classes[1].name: expected a name of its own"),
+        (
+            &second,
+            "[[0,1]]",
+            "settings.family_info.allowed_pools: expected a list for each of 2 classes, got 1",
+        ),
+    ] {
+        let error = with(second, pools).expect_err(expected);
+        assert!(error.starts_with(expected) && !error.contains('\n'), "{error}");
+    }
+    let site = with(&second, "[[0,1],[2]]").expect("settings").site;
+    assert_eq!(site.module.classes[0].allowed, Some(vec![0, 1]));
+    assert_eq!(site.module.classes[1].allowed, Some(vec![2]));
+    // No list at all: any server may take any class.
+    let free = with(&second, "[]").expect("settings").site;
+    assert!(free.module.classes.iter().all(|class| class.allowed.is_none()));
+}
