Tests: absurd figures of a server, and what comes around an answer

Read and found sound: figures of reports and waits that are negative, endless, no number or beyond any range are passed over or bounded and the module goes on; progress without an end, an answer to an unknown id, a second copy of ours and releases in the same bytes are told apart, each owed ACK and 200 written once.

--- a/crates/lemoncleat-access/tests/answers.rs
+++ b/crates/lemoncleat-access/tests/answers.rs
@@ -290,3 +290,89 @@
         assert!(world.closed.contains(&conn), "stopped at {at}");
     }
 }
+
+/// Absurd figures of a server harm nobody: they are passed over or bounded, and calls go on.
+#[test]
+fn absurd_figures_of_a_server_harm_nothing() {
+    let figures = [
+        "-1",
+        "0",
+        "NaN",
+        "inf",
+        "-inf",
+        "1e308",
+        "-1e308",
+        "9223372036854775807",
+        "1e400",
+        "0x7f",
+        "",
+        "1e-320",
+    ];
+    let names = ["x0", "x1", "queue", "inflight", "util", "latency_ms", "qps", "eps", "spare", "strange"];
+    for figure in figures {
+        let mut world = World::new();
+        let caller = world.caller();
+        let report = names.map(|name| format!("{name}:{figure}")).join(";");
+        for conn in [world.to(server_a()), world.to(server_b())].concat() {
+            world.bytes(conn, &notify(&report));
+            // Repeated without an end, up to a message's bound.
+            world.bytes(conn, &notify(&"x0:1;".repeat(2_500)));
+        }
+        world.bytes(caller, &invite(ID, "voice", "dest:0;width:1;via:-1"));
+        for (_, conn, asked) in world.invites() {
+            let full = lemoncleat_sip::response(503, "No", &asked)
+                .header("X-Diagnosis", "cpu_full")
+                .header("X-Lag", figure)
+                .header("X-Occupancy", &report)
+                .finish(b"");
+            world.bytes(conn, &full);
+        }
+        world.pass(2 * SECOND);
+        assert_eq!(world.answers[ID].len(), 1, "{figure}");
+        world.tell_lines();
+        world.pass(20 * SECOND);
+        world.tell_lines();
+        let (caller, id) = (world.caller(), "00000000000000b1");
+        world.bytes(caller, &invite(id, "dear", "dest:0;width:1;via:-1"));
+        for _ in 0..14 {
+            world.pass(100 * MS);
+            for (_, conn, asked) in world.invites() {
+                world.bytes(conn, &ok(&asked));
+            }
+        }
+        assert_eq!(world.answers.get(id).map(Vec::as_slice), Some(&[200][..]), "{figure}");
+    }
+}
+
+/// What else may come in front of, behind and instead of an answer: each case ends the attempt once and harms no other.
+#[test]
+fn what_surrounds_an_answer_is_told_apart_from_it() {
+    use lemoncleat_sip::{response, Method};
+    let mut world = World::new();
+    let caller = world.caller();
+    world.bytes(caller, &invite(ID, "voice", "dest:0;width:1;via:-1"));
+    let (_, conn, asked) = world.invited();
+    // Progress, however much, and an answer to somebody unknown in front of ours; then ours twice and the release.
+    let mut bytes = Vec::new();
+    for _ in 0..200 {
+        bytes.extend(response(183, "Session Progress", &asked).finish(b""));
+    }
+    let text = String::from_utf8(ok(&asked)).expect("text");
+    bytes.extend(text.replace(ID, "00000000000000ff").into_bytes());
+    bytes.extend(ok(&asked));
+    bytes.extend(ok(&asked));
+    bytes.extend(bye(ID, 16));
+    bytes.extend(bye(ID, 16));
+    world.bytes(conn, &bytes);
+    let heard = world.read(caller);
+    assert_eq!((codes(&heard), methods(&heard)), (vec![200], vec![Method::Bye]));
+    let written = world.read(conn);
+    assert_eq!(methods(&written), [Method::Ack], "one for the answer that was waited for");
+    assert_eq!(codes(&written), [200, 200], "each release is confirmed");
+    // A release in front of the answer ends the attempt; the answer behind it is released, never passed on.
+    let id = "00000000000000c1";
+    world.bytes(caller, &invite(id, "voice", "dest:0;width:1;via:-1"));
+    let (_, conn, asked) = world.invited();
+    world.bytes(conn, &[bye(id, 41), ok(&asked)].concat());
+    assert!(codes(&world.read(caller)).iter().all(|code| *code != 200));
+}
