Access: signals are heeded from the first moment of the process on

Seen: a process that waits for its configuration (a pipe in the test) ended by the signal itself when SIGTERM or SIGHUP came, before it listened. run() in lemoncleat-cli/src/access.rs called signals::heed() only after the configuration was read, the log set up and the fleet's variable checked; until then the system's default holds, which for SIGHUP too ends the process: a reload sent to all nodes would kill one that is being restarted, and a SIGTERM then looks like a crash.

Ruled out: loss of a signal between heeding and the loop. They wait in the socket of async-signal until the loop's mailbox takes them; SIGTERM heard early ends the node in order, SIGHUP reads the configuration anew.

Change: heed() is the first thing that run() does.

Measured: the test signals_before_it_listens_are_heeded failed without it with 'no line with "listening on "'.

--- a/crates/lemoncleat-cli/src/access.rs
+++ b/crates/lemoncleat-cli/src/access.rs
@@ -23,6 +23,8 @@
 }
 
 pub fn run() -> Result<(), Failure> {
+    // Before all else: a signal that comes while the configuration is read must not end the process as a fault would.
+    let heeded = signals::heed()?;
     let Some(file) = variable(CONFIG).map(PathBuf::from) else {
         return Err(Failure::Usage(format!("{CONFIG}: not set, expected the file of the configuration")));
     };
@@ -43,8 +45,6 @@
         Some("yes") => true,
         Some(other) => return Err(Failure::Usage(format!("{FLEET}: expected yes or no, got {other:?}"))),
     };
-    // Heeded from before anybody is told that the node is there.
-    let heeded = signals::heed()?;
     let address = config.listen;
     let listener =
         listen_for_callers(address).map_err(|error| Failure::Failed(format!("{address}: {error}")))?;
