Access: tests of a late turn while ending, and of one log line for a bad configuration

Two tests of the program as a process that fail on this tree; what they show stands in other packages.

- set_ups_that_came_while_an_ending_node_had_no_turn_are_answered: SIGTERM is heard, the process is stopped (SIGSTOP), 81 set-ups arrive on an open connection and in the listen queue, 1.2 s pass, it goes on.
- a_configuration_that_cannot_be_used_is_told_of_once: reload() in lemoncleat-service/src/access.rs writes its line at each of ten looks, so one SIGHUP gives ten; the test got 10 where it wants 1.

--- a/crates/lemoncleat-cli/tests/access_endings.rs
+++ b/crates/lemoncleat-cli/tests/access_endings.rs
@@ -4,6 +4,7 @@
 mod access_common;
 
 use std::io::Write;
+use std::time::Duration;
 
 use access_common::*;
 use lemoncleat_sip::{response, Method};
@@ -96,6 +97,37 @@
     drop(hand);
 }
 
+/// A node short of processor time comes to look at its sockets only when its time to end has come.
+#[test]
+fn set_ups_that_came_while_an_ending_node_had_no_turn_are_answered() {
+    let server = CallServer::new();
+    let (journal, _asked) = journal();
+    let mut node = Node::start("turn", &config(server.address, journal, 1024));
+    let mut accepted = node.caller();
+    assert_eq!(accepted.options(), Some(200));
+    node.signal(Signal::TERM);
+    node.line_with("ending in order");
+    node.pause();
+    accepted.send(&invite(&id(1)));
+    let mut queued: Vec<_> = (0..80).map(|_| node.caller()).collect();
+    for (number, queued) in queued.iter_mut().enumerate() {
+        queued.send(&invite(&id(0x100 + number)));
+    }
+    // Nothing comes of a stopped process, for longer than it stays after the signal.
+    accepted.stream.set_read_timeout(Some(Duration::from_millis(1_200))).expect("a limit");
+    assert!(accepted.stream.peek(&mut [0]).is_err(), "it has no turn");
+    accepted.stream.set_read_timeout(Some(LONG)).expect("a limit");
+    node.signal(Signal::CONT);
+    // What reaches the server is served; what does not is answered all the same.
+    let hand = server.serve_from_now_on();
+    accepted.whole_call(&id(1));
+    for (number, queued) in queued.iter_mut().enumerate() {
+        queued.whole_call(&id(0x100 + number));
+    }
+    assert_eq!(node.ended()[0], 81);
+    drop(hand);
+}
+
 #[test]
 fn more_signals_change_nothing_of_an_ending_in_order() {
     let server = CallServer::new();
@@ -257,6 +289,30 @@
     assert_eq!(node.ended(), [1, 1, 0, 0, 0]);
 }
 
+/// One clear line for each configuration that can't be used, however often it is looked at again.
+#[test]
+fn a_configuration_that_cannot_be_used_is_told_of_once() {
+    let server = CallServer::new();
+    let (journal, asked) = journal();
+    let good = config(server.address, journal, 256);
+    let mut node = Node::start("once", &good);
+    assert_eq!(asked.recv_timeout(LONG).as_deref(), Ok("tail 1"));
+    std::fs::write(&node.file, "{").expect("replaced");
+    for _ in 0..20 {
+        node.signal(Signal::HUP);
+    }
+    node.line_with("the configuration in force stays so");
+    // A call that nobody answers holds the process for longer than it goes on looking at the file.
+    let mut caller = node.caller();
+    caller.send(&invite_for(2_500, &id(1)));
+    let held = server.next_invite();
+    node.signal(Signal::TERM);
+    assert_ne!(caller.whole_call(&id(1)), 200);
+    assert_eq!(node.ended()[0], 1);
+    drop(held);
+    assert_eq!(node.count("the configuration in force stays so"), 1, "{:#?}", node.log);
+}
+
 #[test]
 fn a_caller_that_leaves_gets_no_attempt_and_is_counted_once() {
     let server = CallServer::new();
