Access: a call that is over is not taken up again by a set-up that names it

What was read (calls.rs, take_up): a set-up with `at` was only compared with calls that stand and with releases of calls that nobody knew. A caller may name its call on one connection while the release is read on another, or while its own BYE is handled first; the call then stood again at its server, which never speaks of it any more, until the node ended. A release of an unknown call was also forgotten with the first set-up that asked, so a second one on another connection stood.

Ruled out: that a call named on two connections stands twice (the last one gets the release, or another if that one has gone; with a test).

Measured: without the mend a_call_that_is_over_is_not_taken_up_again in tests/endings.rs failed: no release, and the call stood.

--- a/crates/lemoncleat-access/src/calls.rs
+++ b/crates/lemoncleat-access/src/calls.rs
@@ -165,7 +165,7 @@
             return;
         }
         let server = invite.at.as_deref().and_then(|name| self.servers.named(name));
-        let known = self.releases.take_unknown(id);
+        let known = self.releases.cause_known(id);
         let gone = server.is_none_or(|server| !self.servers.can_be_heard(server));
         if let (Some(cause), _) | (None, Some(cause)) = (known, gone.then_some(41)) {
             // It is over, or nobody could tell when it is.
@@ -492,6 +492,8 @@
     pub(crate) fn end_standing(&mut self, id: CallId, outcome: Outcome, report: Report) -> Option<Standing> {
         let standing = self.standing.remove(&id)?;
         self.servers.stands(standing.server, standing.server_conn, -1);
+        let now = self.now;
+        self.releases.keep_over(now, id, if outcome == Outcome::Ok { 16 } else { 41 });
         if outcome != Outcome::Ok {
             self.stats.cut += 1;
         }
--- a/crates/lemoncleat-access/src/releases.rs
+++ b/crates/lemoncleat-access/src/releases.rs
@@ -30,6 +30,8 @@
     open: BTreeMap<CallId, Release>,
     /// Releases of calls that are not known here, with their cause.
     unknown: BTreeMap<CallId, (Micros, u16)>,
+    /// Calls that stood here and are over, with their cause: a set-up with `at` may be read later than that.
+    over: BTreeMap<CallId, (Micros, u16)>,
     /// Set-ups that their callers withdrew, for INVITEs that are read later than that: on another connection the
     /// CANCEL may come first.
     withdrawn: BTreeMap<CallId, Micros>,
@@ -43,7 +45,7 @@
     }
 
     pub(crate) fn unknown_len(&self) -> usize {
-        self.unknown.len() + self.withdrawn.len()
+        self.unknown.len() + self.over.len() + self.withdrawn.len()
     }
 
     /// Keeps a release of a call that is not known here, while there is room.
@@ -53,8 +55,18 @@
         }
     }
 
-    pub(crate) fn take_unknown(&mut self, id: CallId) -> Option<u16> {
-        self.unknown.remove(&id).map(|(_, cause)| cause)
+    /// Remembers a call that stood and is over, while there is room.
+    pub(crate) fn keep_over(&mut self, now: Micros, id: CallId, cause: u16) {
+        if self.over.len() < RELEASES {
+            self.over.insert(id, (now, cause));
+        }
+    }
+
+    /// The cause with which a call is known to be over, for as long as that is kept: a caller may name the call on
+    /// several connections before it reads of its end.
+    pub(crate) fn cause_known(&self, id: CallId) -> Option<u16> {
+        let kept = self.unknown.get(&id).or_else(|| self.over.get(&id)).map(|(_, cause)| *cause);
+        self.open.get(&id).map(|release| release.cause).or(kept)
     }
 
     /// Remembers a set-up that its caller withdrew, while there is room.
@@ -159,8 +171,10 @@
         let now = self.now;
         self.releases.open.retain(|_, release| now - release.since < RELEASE_KEPT);
         self.releases.unknown.retain(|_, (at, _)| now - *at < UNKNOWN_KEPT);
-        // After that no set-up sent before its withdrawal is worth an attempt.
+        // After that no set-up sent before its withdrawal is worth an attempt. For as long one that names a call may
+        // be on its way when the call ends.
         let crossing = self.longest_deadline.min(UNKNOWN_KEPT);
+        self.releases.over.retain(|_, (at, _)| now - *at < crossing);
         self.releases.withdrawn.retain(|_, at| now - *at < crossing);
         self.releases.abandoned.retain(|_, at| now - *at < UNKNOWN_KEPT);
         let again = self.releases.open.iter().filter(|(_, release)| {
--- a/crates/lemoncleat-access/tests/endings.rs
+++ b/crates/lemoncleat-access/tests/endings.rs
@@ -371,3 +371,68 @@
     assert!(world.closed.contains(&caller));
     assert_eq!(world.answers[ID], [200]);
 }
+
+/// A caller that names its call on another connection, before it reads of its end, does not make it stand again.
+#[test]
+fn a_call_that_is_over_is_not_taken_up_again() {
+    type End = fn(&mut World, lemoncleat_access::ConnId, lemoncleat_access::ConnId);
+    let ends: [(&str, End, u16); 4] = [
+        ("released by its server, not yet confirmed", |world, _, conn| world.bytes(conn, &bye(ID, 16)), 16),
+        (
+            "released by its server and confirmed",
+            |world, caller, conn| {
+                world.bytes(conn, &bye(ID, 41));
+                let told = world.read(caller);
+                world.bytes(caller, &response(200, "OK", &told[0]).finish(b""));
+            },
+            41,
+        ),
+        ("released by its caller", |world, caller, _| world.bytes(caller, &bye(ID, 16)), 16),
+        (
+            "released by its caller, whose connection is gone",
+            |world, caller, _| {
+                world.bytes(caller, &bye(ID, 16));
+                world.close(caller);
+            },
+            16,
+        ),
+    ];
+    for (how, end, cause) in ends {
+        let mut world = World::new();
+        let caller = world.caller();
+        let (server, conn) = world.standing_call(caller, ID);
+        let name = if server == server_a() { "s-a" } else { "s-b" };
+        end(&mut world, caller, conn);
+        for _ in 0..2 {
+            let other = world.caller();
+            world.bytes(other, &invite(ID, "voice", &format!("at:{name}")));
+            let told = world.read(other);
+            let last = told.last().expect(how);
+            assert_eq!(last.method(), Some(&Method::Bye), "{how}");
+            assert_eq!(last.header("Reason"), Some(format!("Q.850;cause={cause}").as_str()), "{how}");
+            world.bytes(other, &response(200, "OK", last).finish(b""));
+        }
+        let Notice::Tables { standing, releases, .. } = world.tables() else { panic!("tables") };
+        assert_eq!((standing, releases), (0, 0), "{how}");
+    }
+}
+
+/// Named on two connections, a call stands once; its release goes to the last, or to another if that has gone.
+#[test]
+fn a_call_named_on_two_connections_stands_once() {
+    for gone in [false, true] {
+        let mut world = World::new();
+        let (first, last) = (world.caller(), world.caller());
+        for conn in [first, last] {
+            world.bytes(conn, &invite(ID, "voice", "at:s-a"));
+        }
+        if gone {
+            world.close(last);
+        }
+        let conn = world.to(server_a())[0];
+        world.bytes(conn, &bye(ID, 16));
+        let (here, there) = if gone { (first, last) } else { (last, first) };
+        assert_eq!(methods(&world.read(here)), [Method::Bye]);
+        assert!(world.read(there).is_empty());
+    }
+}
