--- a/crates/lemoncleat-access/tests/endings.rs
+++ b/crates/lemoncleat-access/tests/endings.rs
@@ -436,3 +436,64 @@
         assert!(world.read(there).is_empty());
     }
 }
+
+/// Set-ups come for 0.6 s after SIGTERM, on open connections and new ones, and are read later still. Each is served,
+/// a second SIGTERM does not put the end off, and whoever leaves meanwhile is given up as always.
+#[test]
+fn what_comes_while_the_node_ends_is_served_and_nothing_else_is_begun() {
+    let mut world = World::new();
+    let (open, leaver) = (world.caller(), world.caller());
+    world.bytes(open, &about(Method::Options, NEXT));
+    world.read(open);
+    world.input(Input::Terminate);
+    world.bytes(leaver, &invite("00000000000000f0", "dear", LEGS));
+    let (_, withdrawn, _) = world.invited();
+    world.input(Input::Leaving(leaver));
+    assert_eq!(methods(&world.read(withdrawn)), [Method::Cancel]);
+    world.close(leaver);
+    for call in 0..7 {
+        let caller = if call % 2 == 0 { open } else { world.caller() };
+        let id = format!("{:016x}", 0xabc000 + call);
+        world.input(Input::Waited(caller, &invite(&id, "voice", LEGS), 100 * MS));
+        let (_, conn, asked) = world.invited();
+        world.input(Input::Terminate);
+        world.bytes(conn, &ok(&asked));
+        world.bytes(caller, &about(Method::Ack, &id));
+        assert_eq!(codes(&world.read(caller)), [200], "{call}");
+        world.read(conn);
+        world.bytes(caller, &bye(&id, 16));
+        assert_eq!(methods(&world.read(conn)), [Method::Bye], "{call}");
+        assert_eq!(codes(&world.read(caller)), [200], "{call}");
+        world.pass(100 * MS);
+        assert!(!world.stopped, "{call}: more may come");
+    }
+    world.pass(300 * MS);
+    assert!(world.stopped, "counted from the first SIGTERM");
+    assert_eq!(world.answers["00000000000000f0"], [480]);
+    assert!(world.answers.values().all(|codes| codes.len() == 1));
+    assert_eq!(world.node.stats().attempts, 8);
+}
+
+/// A release whose caller's connection has gone waits for the next one, also while the node ends.
+#[test]
+fn a_node_that_ends_waits_for_what_stands_and_for_releases_that_nobody_heard() {
+    let mut world = World::new();
+    let caller = world.caller();
+    let (_, conn) = world.standing_call(caller, ID);
+    world.input(Input::Terminate);
+    world.close(caller);
+    world.pass(2 * SECOND);
+    assert!(!world.stopped, "a call stands, and is not cut for the end");
+    assert!(world.to(server_a()).contains(&conn) || world.to(server_b()).contains(&conn));
+    world.bytes(conn, &bye(ID, 16));
+    world.pass(SECOND);
+    assert!(!world.stopped, "its release is owed");
+    let next = world.caller();
+    world.bytes(next, &about(Method::Options, NEXT));
+    let told = world.read(next);
+    let released = told.iter().find(|message| message.method() == Some(&Method::Bye)).expect("a release");
+    assert_eq!(codes(&told), [503], "tests fail");
+    world.bytes(next, &response(200, "OK", released).finish(b""));
+    world.pass(200 * MS);
+    assert!(world.stopped);
+}
