Access: an answer read too late ends its call for the module at once

What was read: an attempt that was answered past the door was told to the module as ended with the call still open (calls.rs, answered_late), and the caller's leaving only after it. A module that begins another attempt in between would be told of the end of attempt 0, not of that one, and go on counting it at its server.

Ruled out: the same in the other paths that end a call with an attempt out; they tell the end as that of the call.

The change: the end of the attempt is told as the end of the call, so nothing is begun in between.

Measured: the tests in tests/withdrawals.rs pass as before; with the release times of the settings the module began nothing there, so no test shows a difference.

--- a/crates/lemoncleat-access/src/calls.rs
+++ b/crates/lemoncleat-access/src/calls.rs
@@ -473,13 +473,23 @@
     /// An attempt was answered, and its caller stops waiting before that could arrive: the turn came late, and the
     /// guard has not acted yet. What stands at the server is released, and the call failed as the guard does.
     fn answered_late(&mut self, id: CallId, conn: ConnId) {
-        let Some(attempt) = self.calls.get(&id).and_then(|call| call.attempt) else { return };
+        let Some(attempt) = self.take_attempt(id) else { return };
         if let Some(call) = self.calls.get(&id) {
             let (text, called) = (call.id.clone(), call.called.clone());
             self.release_at_server(attempt.server, &text, &called, 16, Some(conn));
         }
         self.trace_id(id, "answered when its caller waits no longer: released");
-        self.end_attempt(id, Outcome::TimedOut, Reason::None, Report::default());
+        // Told as the end of the call: the module begins nothing on it.
+        self.tell(Event::Ended {
+            call: id,
+            attempt: attempt.number,
+            server: attempt.server,
+            outcome: Outcome::TimedOut,
+            lag: self.now - attempt.sent,
+            closed: true,
+            reason: Reason::None,
+            report: Report::default(),
+        });
         self.guard(id);
     }
 
