Access: a copy of a set-up whose call is over is refused, not run again

What was read (calls.rs, invite): an id was compared with open and standing calls only. A copy read a little after its call had ended was begun as a new call, and a release of the first that was still on its way, or was sent again because nobody had confirmed it, would have ended the second at its caller.

Ruled out: the same for set-ups that were refused. A retry has a new id, nothing of a refused one is on its way, and a set-up that crossed a close of ours may come again under its id.

The change: an id whose call stood and is over, or whose release is not confirmed, is refused with 482 for as long as that is kept.

Measured: without the mend a_copy_of_a_set_up_whose_call_is_over_is_not_begun in tests/endings.rs failed: the copy was sent on.

--- a/crates/lemoncleat-access/src/calls.rs
+++ b/crates/lemoncleat-access/src/calls.rs
@@ -94,7 +94,8 @@
         if self.is_owner(conn, &message) {
             return self.caller_conflict(conn);
         }
-        if self.calls.contains_key(&id) || self.standing.contains_key(&id) {
+        let over = self.releases.is_over(id);
+        if self.calls.contains_key(&id) || self.standing.contains_key(&id) || over {
             return self.unusable(conn, &message, 482, "Loop Detected");
         }
         self.caller_useful(conn);
--- a/crates/lemoncleat-access/src/releases.rs
+++ b/crates/lemoncleat-access/src/releases.rs
@@ -30,7 +30,8 @@
     open: BTreeMap<CallId, Release>,
     /// Releases of calls that are not known here, with their cause.
     unknown: BTreeMap<CallId, (Micros, u16)>,
-    /// Calls that stood here and are over, with their cause: a set-up with `at` may be read later than that.
+    /// Calls that stood here and are over, with their cause: a set-up with `at`, or a copy of theirs, may
+    /// be read later than that.
     over: BTreeMap<CallId, (Micros, u16)>,
     /// Set-ups that their callers withdrew, for INVITEs that are read later than that: on another connection the
     /// CANCEL may come first.
@@ -62,6 +63,11 @@
         }
     }
 
+    /// Whether a call of this id stood here and is over: its releases would be taken for those of another one.
+    pub(crate) fn is_over(&self, id: CallId) -> bool {
+        self.open.contains_key(&id) || self.over.contains_key(&id)
+    }
+
     /// The cause with which a call is known to be over, for as long as that is kept: a caller may name the call on
     /// several connections before it reads of its end.
     pub(crate) fn cause_known(&self, id: CallId) -> Option<u16> {
--- a/crates/lemoncleat-access/tests/endings.rs
+++ b/crates/lemoncleat-access/tests/endings.rs
@@ -497,3 +497,25 @@
     world.pass(200 * MS);
     assert!(world.stopped);
 }
+
+/// Every set-up has a new id: one under the id of a call that is over is a copy, and its releases that are still on
+/// their way would end the new one.
+#[test]
+fn a_copy_of_a_set_up_whose_call_is_over_is_not_begun() {
+    for confirmed in [true, false] {
+        let mut world = World::new();
+        let caller = world.caller();
+        let (_, conn) = world.standing_call(caller, ID);
+        world.bytes(conn, &bye(ID, 16));
+        let told = world.read(caller);
+        if confirmed {
+            world.bytes(caller, &response(200, "OK", &told[0]).finish(b""));
+        }
+        world.pass(100 * MS);
+        let other = world.caller();
+        world.bytes(other, &invite(ID, "voice", LEGS));
+        assert_eq!(codes(&world.read(other)), [482]);
+        assert!(world.invites().is_empty());
+        assert_eq!(world.node.stats().attempts, 1);
+    }
+}
