--- a/crates/lemoncleat-access/src/calls.rs
+++ b/crates/lemoncleat-access/src/calls.rs
@@ -236,7 +236,7 @@
         } else if !self.releases.crossed(id) {
             // It may be one that this process learns of later.
             let now = self.now;
-            self.releases.keep_unknown(now, id, cause);
+            self.releases.keep_told(now, id, cause);
             self.releases.withdraw(now, id);
             return self.unusable(conn, message, 481, "Call/Transaction Does Not Exist");
         }
--- a/crates/lemoncleat-access/src/releases.rs
+++ b/crates/lemoncleat-access/src/releases.rs
@@ -63,6 +63,14 @@
         }
     }
 
+    /// The same of a release that a caller sent. Those of call servers keep half of the room for themselves: callers
+    /// may send anything.
+    pub(crate) fn keep_told(&mut self, now: Micros, id: CallId, cause: u16) {
+        if self.unknown.len() < RELEASES / 2 {
+            self.keep_unknown(now, id, cause);
+        }
+    }
+
     /// Whether a call of this id stood here and is over: its releases would be taken for those of another one.
     pub(crate) fn is_over(&self, id: CallId) -> bool {
         self.open.contains_key(&id) || self.over.contains_key(&id)
--- a/crates/lemoncleat-access/tests/endings.rs
+++ b/crates/lemoncleat-access/tests/endings.rs
@@ -519,3 +519,18 @@
         assert_eq!(world.node.stats().attempts, 1);
     }
 }
+
+/// Callers that send releases of calls that never were leave room for those that call servers send.
+#[test]
+fn releases_of_call_servers_are_kept_whatever_callers_send() {
+    let mut world = World::new();
+    for call in 0..5_000 {
+        let rude = world.caller();
+        world.bytes(rude, &bye(&format!("{:016x}", 0xabc000 + call), 16));
+    }
+    let conn = world.to(server_a())[0];
+    world.bytes(conn, &bye(ID, 41));
+    let caller = world.caller();
+    world.bytes(caller, &invite(ID, "voice", "at:s-a"));
+    assert_eq!(methods(&world.read(caller)), [Method::Bye]);
+}
