Access: calls that callers only name have a bound

What was read (calls.rs, take_up): a set-up with `at` was taken up as standing whatever it named, without a bound. A caller that names calls which never were made the table grow for as long as it sent.

Ruled out: evicting the oldest (a call that really stands would lose its release); a bound on calls that were set up here (they are bounded by the call servers, and are never turned away for this).

The change: no more are taken up once the calls that stand would take a sixth of the memory limit, at 512 bytes each.

--- a/crates/lemoncleat-access/src/calls.rs
+++ b/crates/lemoncleat-access/src/calls.rs
@@ -177,6 +177,11 @@
             return self.release_to_caller(id, invite.id, invite.called, cause, conn);
         }
         let Some(server) = server else { return };
+        if self.standing.len() >= self.most_standing {
+            // Anybody may name calls that never were: those that are held come first.
+            self.stats.bad_callers += 1;
+            return self.trace(&invite.id, || "not taken up: there is no room".to_owned());
+        }
         self.trace(&invite.id, || "taken up as standing".to_owned());
         let standing = Standing {
             id: invite.id,
--- a/crates/lemoncleat-access/src/node.rs
+++ b/crates/lemoncleat-access/src/node.rs
@@ -43,6 +43,9 @@
 /// What one of them takes at most, with its description and its refusals.
 const MEMORY_OF_CALL: usize = 4 * 1024;
 
+/// What a call that stands takes at most.
+const MEMORY_OF_STANDING: usize = 512;
+
 /// An access node.
 pub struct AccessNode {
     pub(crate) name: String,
@@ -54,6 +57,8 @@
     pub(crate) classes: Vec<String>,
     /// Set-ups without an answer, at most.
     pub(crate) most_open: usize,
+    /// Calls that stand, at most, before more are taken up that callers only name.
+    pub(crate) most_standing: usize,
     pub(crate) longest_deadline: Micros,
     pub(crate) controller: Controller,
     pub(crate) wheel: Wheel<Timer>,
@@ -96,7 +101,7 @@
         let sockets = config.limits.sockets as usize;
         let (nodes, own_number, seed) = (site.module.balancers, site.module.own_number, config.seed);
         let servers = Servers::new(sockets, site.dial_timeout, &site.zones, nodes, seed);
-        let memory = config.limits.memory_mb as usize * (1 << 20) / MEMORY_FOR_CALLS / MEMORY_OF_CALL;
+        let memory = config.limits.memory_mb as usize * (1 << 20) / MEMORY_FOR_CALLS;
         let held = if site.most_held > 0 { site.most_held as usize } else { usize::MAX };
         let mut node = AccessNode {
             name: config.name,
@@ -104,7 +109,8 @@
             came: 0,
             epoch,
             classes: site.classes,
-            most_open: memory.min(held),
+            most_open: (memory / MEMORY_OF_CALL).min(held),
+            most_standing: memory / MEMORY_OF_STANDING,
             longest_deadline,
             controller: Controller::new(site.module, config.seed)?,
             wheel: Wheel::new(),
--- a/crates/lemoncleat-access/tests/endings.rs
+++ b/crates/lemoncleat-access/tests/endings.rs
@@ -534,3 +534,18 @@
     world.bytes(caller, &invite(ID, "voice", "at:s-a"));
     assert_eq!(methods(&world.read(caller)), [Method::Bye]);
 }
+
+/// Callers may name calls that never were: their number has a bound, and calls are set up all the same.
+#[test]
+fn calls_that_are_only_named_do_not_fill_the_memory() {
+    let mut world = World::new();
+    let rude = world.caller();
+    for call in 0..20_000 {
+        world.bytes(rude, &invite(&format!("{:016x}", 0xabc000 + call), "voice", "at:s-a"));
+    }
+    let caller = world.caller();
+    world.standing_call(caller, ID);
+    let Notice::Tables { standing, .. } = world.tables() else { panic!("tables") };
+    // A sixth of 48 MB, 512 bytes for each.
+    assert_eq!(standing, 16_384 + 1);
+}
