A second copy of a refusal does not end the call's next attempt

Read, in servers.rs: an answer belongs to the attempt that is out on its connection, since servers do not give the number of the set-up back. A call's next attempt at the same server went out on the same connection where that was free, and only connections of attempts that were given up were kept from it (`spent`). A second copy of a refusal, some milliseconds late, then ended the next attempt as one that never ran: the module might send the call a third time while the second ran, and the second's 200 was nobody's and was not released.

Ruled out: copies of a 200 (the call is answered, no attempt follows), copies on another connection (they are nobody's).

Change: a connection on which an attempt of a call was answered, or released before its answer, gets no further attempt of that call; such a release also counts as given up, so that an answer behind it is acknowledged and released. The cost is a dial where a call comes again to a server to which nothing else is up.

Measured: a_second_copy_of_a_refusal_does_not_end_the_next_attempt failed without it ("503: left None, right [200]"), an_answer_behind_the_servers_release_is_released with no ACK and no BYE written.

--- a/crates/lemoncleat-access/src/servers.rs
+++ b/crates/lemoncleat-access/src/servers.rs
@@ -772,6 +772,10 @@
         let lag = message.header("X-Lag").and_then(|lag| lag.trim().parse::<f64>().ok());
         let wait = lag.filter(|lag| lag.is_finite()).map_or(0, |lag| (lag * 1e3) as Micros);
         let (reason, report) = (diagnosis(reason, wait), report_of(message));
+        // A second copy of it must find no further attempt of the call on this connection.
+        if let Some(call) = self.calls.get_mut(&id) {
+            call.spent.push(conn);
+        }
         let outcome = match code {
             200..300 => return self.attempt_answered(id, conn, message),
             503 => Outcome::Full,
@@ -819,6 +823,11 @@
                 self.mind_server(server);
             }
         } else if out.is_some_and(|out| out.server == server && out.carrier == Carrier::Conn(conn)) {
+            // Should it answer all the same, that is released.
+            self.releases.abandon(self.now, id, server);
+            if let Some(call) = self.calls.get_mut(&id) {
+                call.spent.push(conn);
+            }
             self.end_attempt(id, Outcome::Reset, Reason::None, report);
         } else if out.is_none() && !self.releases.was_abandoned(id, server) {
             // It may stand since before this process did.
--- a/crates/lemoncleat-access/tests/answers.rs
+++ b/crates/lemoncleat-access/tests/answers.rs
@@ -376,3 +376,41 @@
     world.bytes(conn, &[bye(id, 41), ok(&asked)].concat());
     assert!(codes(&world.read(caller)).iter().all(|code| *code != 200));
 }
+
+/// The second copy of a refusal comes when a further attempt is out at the same server: it does not end that one.
+#[test]
+fn a_second_copy_of_a_refusal_does_not_end_the_next_attempt() {
+    for code in [503, 500, 504] {
+        let mut world = World::new();
+        lists(&mut world, 2, "s-b", "127.0.1.2:5070", "removed");
+        world.tell_lines();
+        let caller = world.caller();
+        world.bytes(caller, &invite_for(ID, "voice", "dest:0;width:1;via:-1", "9000"));
+        let (_, first, asked) = world.invited();
+        let refused = refusal(&asked, code, "all_trunks_busy");
+        world.bytes(first, &refused);
+        let again = (0..300).find_map(|_| {
+            world.pass(10 * MS);
+            world.tell_lines();
+            world.invites().pop()
+        });
+        let (_, second, asked) = again.expect("a further attempt");
+        world.bytes(first, &refused);
+        world.bytes(second, &ok(&asked));
+        assert_eq!(world.answers.get(ID).map(Vec::as_slice), Some(&[200][..]), "{code}");
+    }
+}
+
+/// A release in front of the answer ends the attempt; an answer behind it is acknowledged and released.
+#[test]
+fn an_answer_behind_the_servers_release_is_released() {
+    use lemoncleat_sip::Method;
+    let mut world = World::new();
+    let caller = world.caller();
+    world.bytes(caller, &invite(ID, "voice", "dest:0;width:1;via:-1"));
+    let (_, conn, asked) = world.invited();
+    world.bytes(conn, &[bye(ID, 41), ok(&asked)].concat());
+    assert!(codes(&world.read(caller)).is_empty());
+    let written = world.read(conn);
+    assert_eq!((codes(&written), methods(&written)), (vec![200], vec![Method::Ack, Method::Bye]));
+}
