Pauses between dials to a server that is down differ from node to node

Read, in servers.rs: `server_dial_failed` doubled one pause, the same in each node, so all nodes of a fleet came back to a server that had gone for all of them at one moment in step, to within the 100 ms between two looks; that is worst for one that comes back cold.

Ruled out: the order over servers within a node (by its seed already).

Measured: a_server_that_refuses_is_dialled_by_each_node_in_its_own_step failed without it with the same moments for two seeds; with it they are over 200 ms apart from the seventh dial on.

--- a/crates/lemoncleat-access/src/servers.rs
+++ b/crates/lemoncleat-access/src/servers.rs
@@ -526,10 +526,12 @@
         let Some(failed) = self.servers.dials.remove(&dial) else { return };
         let id = failed.server;
         let (mut first, mut dead) = (false, false);
+        let held = self.servers.all.get(&id).map_or(0, |server| server.pause);
+        let pause = self.spread(held);
         if let Some(server) = self.servers.all.get_mut(&id) {
             server.dials.remove(&dial);
             first = !std::mem::replace(&mut server.unreachable, true);
-            server.dial_at = now + server.pause;
+            server.dial_at = now + pause;
             server.pause = (2 * server.pause).min(REDIAL.1);
             // Connections that are still open would have been reset with the process.
             dead = refused && server.conns.is_empty();
--- a/crates/lemoncleat-access/tests/watch.rs
+++ b/crates/lemoncleat-access/tests/watch.rs
@@ -47,11 +47,15 @@
 /// Lets time pass before a journal service that takes no connection up; gives when each dial began and ended. A dial
 /// fails at once (`refused`), or at its time.
 fn dials_in_vain(world: &mut World, span: Micros, refused: bool) -> Vec<(Micros, Micros)> {
+    dials_in_vain_to(world, journal(), span, refused)
+}
+
+fn dials_in_vain_to(world: &mut World, to: SocketAddr, span: Micros, refused: bool) -> Vec<(Micros, Micros)> {
     let until = world.now + span;
     let mut all = Vec::new();
     let mut under_way = None;
     while world.now < until {
-        let dial = world.dials.iter().find(|(_, to)| *to == journal()).map(|(dial, _)| *dial);
+        let dial = world.dials.iter().find(|(_, held)| *held == to).map(|(dial, _)| *dial);
         if let Some(dial) = dial {
             let (held, since) = *under_way.get_or_insert((dial, world.now));
             assert_eq!(held, dial, "one dial at a time");
@@ -299,3 +303,22 @@
         assert_eq!(goes_to(&mut world, 1), None, "newer first: {newer_first}");
     }
 }
+
+/// A server that is down is not dialled by all nodes in step.
+#[test]
+fn a_server_that_refuses_is_dialled_by_each_node_in_its_own_step() {
+    let begun = |seed: &str| {
+        let mut world = World::with(|text| text.replace("8c1f30d27a5be964", seed));
+        world.up.remove(&server_a());
+        for conn in world.to(server_a()) {
+            world.close(conn);
+        }
+        dials_in_vain_to(&mut world, server_a(), 8 * SECOND, true)
+    };
+    let (one, other) = (begun("8c1f30d27a5be900"), begun("8c1f30d27a5be9ff"));
+    for dials in [&one, &other] {
+        assert!((8..16).contains(&dials.len()), "{dials:?}");
+        assert!(dials.windows(2).all(|pair| pair[1].0 - pair[0].0 <= 1_200 * MS), "{dials:?}");
+    }
+    assert!((one[6].0 - other[6].0).abs() >= 200 * MS, "{one:?} {other:?}");
+}
