--- a/crates/lemoncleat-access/src/journal.rs
+++ b/crates/lemoncleat-access/src/journal.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use lemoncleat_core::Micros;
-use lemoncleat_platform::{read_line, JournalLine};
+use lemoncleat_platform::{number_of_line, read_line, JournalLine};
 
 use crate::interface::{ConnId, DialId, Output};
 use crate::node::AccessNode;
@@ -24,6 +24,8 @@
     /// The number of the last event taken in.
     pos: u64,
     line: Vec<u8>,
+    /// The number of an event that came once and could not be read.
+    unreadable: Option<u64>,
     heard_at: Micros,
     /// Between the beginnings of two dials, at least.
     pause: Micros,
@@ -41,6 +43,7 @@
             state: State::Down,
             pos,
             line: Vec::new(),
+            unreadable: None,
             heard_at: 0,
             pause: JOURNAL_REDIAL.0,
             dialled_at: 0,
@@ -126,7 +129,9 @@
                 }
                 Err(why) => {
                     self.notice(Notice::JournalLine(why));
-                    return self.journal_down("a line can't be read");
+                    if !self.passes_over(&line) {
+                        return self.journal_down("a line can't be read");
+                    }
                 }
             }
         }
@@ -136,6 +141,19 @@
         }
     }
 
+    /// Whether to go on behind a line that can't be read. One that was spoilt on its way is sound when it is asked for
+    /// again; where the same event can't be read a second time, the service has it so, and those behind it count.
+    fn passes_over(&mut self, line: &[u8]) -> bool {
+        let next = self.journal.pos + 1;
+        let number = std::str::from_utf8(line).ok().and_then(number_of_line).filter(|number| *number == next);
+        let again = number.is_some() && self.journal.unreadable == number;
+        self.journal.unreadable = number;
+        if again {
+            self.journal.pos = next;
+        }
+        again
+    }
+
     /// Takes a line in; false when the connection is of no more use.
     fn journal_line(&mut self, line: JournalLine) -> bool {
         let journal = &mut self.journal;
--- a/crates/lemoncleat-platform/src/journal.rs
+++ b/crates/lemoncleat-platform/src/journal.rs
@@ -101,3 +101,12 @@
     let (pos, news) = event.translate();
     Ok(JournalLine::Event(pos, news))
 }
+
+/// The number of an event that can't be read otherwise; `None` if not even that is told.
+pub fn number_of_line(line: &str) -> Option<u64> {
+    #[derive(Deserialize)]
+    struct Numbered {
+        pos: u64,
+    }
+    crate::json::read::<Numbered>(line.trim()).ok().map(|event| event.pos)
+}
--- a/crates/lemoncleat-platform/src/lib.rs
+++ b/crates/lemoncleat-platform/src/lib.rs
@@ -11,7 +11,7 @@
 mod settings;
 
 pub use config::{Limits, NodeConfig};
-pub use journal::{read_line, JournalLine};
+pub use journal::{number_of_line, read_line, JournalLine};
 pub use list::{Endpoint, ListedServer, ServerNews};
 pub use names::Names;
 pub use report::{diagnosis, reason_of_code, report_of_text, set_figure};
