Servers with calls that outnumber the connections take turns

Measured first, with 180 servers at which a call stands each and 80 connections (256 descriptors): the node opened 800 connections a second. Read, in servers.rs: at every look, 100 ms, `mind_server` made room for each server with calls and no connection by closing another's, and so on round; with hundreds of nodes that is a flood of handshakes at servers where connections are scarce.

Ruled out: what a server can't tell with no connection may come within 8 s of its end, so it need not be dialled at once; a release that is owed to it still is, and so is one whose connection broke (`refresh`).

Change: where the budget is used up, a server with calls is dialled again only 2 s (`CHECK`) after its last connection came up, as one that is not heard is already.

Measured: servers_with_calls_that_outnumber_the_connections_take_turns failed without it with "3206 connections in 4 s"; with it fewer than 440, each server has its turn, and a release is heard there.

--- a/crates/lemoncleat-access/src/servers.rs
+++ b/crates/lemoncleat-access/src/servers.rs
@@ -617,7 +617,10 @@
         if bare && server.displaced {
             return self.lose_server(id, "another server stands at its address");
         }
-        if bare && now >= server.dial_at && (!self.servers.is_full() || held && self.make_room(id)) {
+        // Where servers with calls outnumber the connections there may be, they take turns: what one could not tell
+        // it tells when its turn comes.
+        let turn = !server.owed.is_empty() || server.standing > 0 && now - server.fresh_at > CHECK;
+        if bare && now >= server.dial_at && (!self.servers.is_full() || turn && self.make_room(id)) {
             self.dial_server(id);
         }
     }
--- a/crates/lemoncleat-access/tests/answers.rs
+++ b/crates/lemoncleat-access/tests/answers.rs
@@ -414,3 +414,62 @@
     let written = world.read(conn);
     assert_eq!((codes(&written), methods(&written)), (vec![200], vec![Method::Ack, Method::Bye]));
 }
+
+/// Calls stand at many more servers than there may be connections: each server gets one in its turn, so that it can
+/// tell what ended there, and connections are not torn from one another at every look.
+#[test]
+fn servers_with_calls_that_outnumber_the_connections_take_turns() {
+    const SERVERS: u32 = 200;
+    let at = |number: u32| format!("127.3.0.{}:5070", number + 1);
+    let line = |number: u32| {
+        format!(
+            r#"{{"name":"s-{number:08x}","address":"{}","zone":"east","type":"std","group":{number},"status":"up"}}"#,
+            at(number)
+        )
+    };
+    let all: Vec<_> = (0..SERVERS).map(line).collect();
+    let mut world = World::down(|text| {
+        let from = text.find("{\"name\":\"s-a\"").expect("the first server");
+        let to = text.find("]}}]},").expect("the end of the list");
+        let text = format!("{}{}{}", &text[..from], all.join(","), &text[to..]);
+        text.replace("\"balancers\":2", "\"balancers\":300").replace("\"allowed_pools\":[[0,1],[0,1]],", "")
+    });
+    world.up = (0..SERVERS).map(|number| address(&at(number))).chain([journal()]).collect();
+    world.pass(MS);
+    let caller = world.caller();
+    let mut held = Vec::new();
+    for number in 0..180 {
+        let id = format!("{number:016x}");
+        world.bytes(caller, &invite(&id, "voice", &format!("dest:{number};width:1;via:-1")));
+        let (server, conn, asked) = world.invited();
+        world.bytes(conn, &ok(&asked));
+        world.bytes(caller, &about(lemoncleat_sip::Method::Ack, &id));
+        held.push((server, id));
+        world.pass(2 * MS);
+    }
+    world.pass(2 * SECOND);
+    let before = world.every.len();
+    for _ in 0..40 {
+        world.pass(100 * MS);
+        for (_, conn) in world.conns.clone() {
+            world.bytes(conn, &notify("x0:40;x1:40"));
+        }
+        world.bytes(caller, &about(lemoncleat_sip::Method::Options, "00000000000000f0"));
+    }
+    let opened = &world.every[before..];
+    assert!(opened.len() < 2 * 180 + 80, "{} connections in 4 s", opened.len());
+    for (server, _) in &held {
+        let has = world.conns.iter().any(|(to, _)| to == server);
+        assert!(has || opened.iter().any(|(to, _)| to == server), "no turn of {server} within 4 s");
+    }
+    // A call ends where there is no connection at this moment.
+    let bare = held.iter().find(|(server, _)| !world.conns.iter().any(|(to, _)| to == server));
+    let (server, id) = bare.expect("a server without a connection").clone();
+    world.read(caller);
+    let conn = (0..30).find_map(|_| {
+        world.pass(100 * MS);
+        world.to(server).first().copied()
+    });
+    world.bytes(conn.expect("its turn"), &bye(&id, 16));
+    assert_eq!(methods(&world.read(caller)), [lemoncleat_sip::Method::Bye]);
+}
