--- a/crates/lemoncleat-access/src/journal.rs
+++ b/crates/lemoncleat-access/src/journal.rs
@@ -144,7 +144,7 @@
     /// Whether to go on behind a line that can't be read. One that was spoilt on its way is sound when it is asked for
     /// again; where the same event can't be read a second time, the service has it so, and those behind it count.
     fn passes_over(&mut self, line: &[u8]) -> bool {
-        let next = self.journal.pos + 1;
+        let next = self.journal.pos.saturating_add(1);
         let number = std::str::from_utf8(line).ok().and_then(number_of_line).filter(|number| *number == next);
         let again = number.is_some() && self.journal.unreadable == number;
         self.journal.unreadable = number;
--- a/crates/lemoncleat-access/tests/watch.rs
+++ b/crates/lemoncleat-access/tests/watch.rs
@@ -360,3 +360,58 @@
     world.bytes(second, deep.as_bytes());
     assert!(world.closed.contains(&second));
 }
+
+/// A set-up waits for a connection to the only server, which is told to drain: the module hears of that first, and does
+/// not choose the same server again.
+#[test]
+fn a_set_up_that_loses_its_dial_to_a_drain_is_not_chosen_for_the_same_server() {
+    let mut world = World::new();
+    let conn = watch(&world);
+    world.bytes(conn, hosts(2, false, &endpoint("s-b", "127.0.1.2:5070", "removed")).as_bytes());
+    world.tell_lines();
+    world.up.remove(&server_a());
+    for open in world.to(server_a()) {
+        world.close(open);
+    }
+    let caller = world.caller();
+    world.bytes(caller, &invite("00000000000000d1", "voice", "dest:0;width:1;via:-1"));
+    let before = world.node.stats();
+    world.bytes(conn, drains(3).as_bytes());
+    world.up.insert(server_a());
+    for _ in 0..20 {
+        world.pass(100 * MS);
+        assert!(world.invites().is_empty(), "a set-up for a server that drains");
+    }
+    assert_eq!(world.node.stats().attempts, before.attempts);
+    assert_eq!(world.answers["00000000000000d1"].len(), 1);
+}
+
+/// Figures of an event that are beyond any range, its number among them: calls go on.
+#[test]
+fn absurd_figures_of_an_event_harm_nothing() {
+    for since in ["1e308", "9.3e18", "9223372036854775807", "-1e308", "-9223372036854775808", "1e-320"] {
+        for group in ["0", "9223372036854775807", "-9223372036854775808"] {
+            let mut world = World::with(|text| text.replace("\"allowed_pools\":[[0,1],[0,1]],", ""));
+            let conn = watch(&world);
+            let line = endpoint("s-a", "127.0.1.1:5070", "up")
+                .replace("\"since_ms\":0", &format!("\"since_ms\":{since}"))
+                .replace("\"group\":0", &format!("\"group\":{group}"));
+            world.bytes(conn, hosts(2, false, &line).as_bytes());
+            world.tell_lines();
+            world.pass(30 * SECOND);
+            world.tell_lines();
+            for id in 0..8 {
+                goes_to(&mut world, id);
+                world.pass(200 * MS);
+            }
+            assert!(world.node.stats().stood > 0, "{since} {group}");
+        }
+    }
+    let mut world = World::new();
+    let conn = watch(&world);
+    let both = [endpoint("s-a", "127.0.1.1:5070", "draining"), endpoint("s-b", "127.0.1.2:5070", "up")];
+    world.bytes(conn, hosts(u64::MAX, true, &both.join(",")).as_bytes());
+    world.bytes(conn, format!("{{\"pos\":{},\"hosts\":7}}\n", u64::MAX).as_bytes());
+    world.pass(5 * SECOND);
+    assert_eq!(goes_to(&mut world, 1), Some(server_b()));
+}
