Dials for which nobody waits make room for a set-up

Read, in servers.rs: dials count towards the budget of connections, and `make_room` could only close connections. With more servers than connections, and many of them dark (a zone that is lost), the budget was dials that hang for their whole time, half a second, made ahead of need; a set-up to a server without a connection then ended as unreachable and the caller was refused, though nothing of use was under way.

Ruled out: dials for which set-ups wait or whose server holds calls or is owed releases (they stay), and a connection that is idle (closed for room as before, behind such a dial).

Change: where the budget is used up, a dial to another server for which nobody waits is given up first.

Measured: dials_for_which_nobody_waits_make_room_for_a_set_up failed without it with a 503, "no room".

--- a/crates/lemoncleat-access/src/servers.rs
+++ b/crates/lemoncleat-access/src/servers.rs
@@ -281,6 +281,15 @@
         idle.min_by_key(|(_, conn)| (conn.standing > 0, conn.used_at.max(conn.opened_at))).map(|(id, _)| *id)
     }
 
+    /// A dial to another server for which no set-up, no call that stands and no release waits.
+    fn idle_dial(&self, but: ServerId) -> Option<DialId> {
+        let idle = |dial: &Dial| {
+            let free = |server: &Server| server.standing == 0 && server.owed.is_empty();
+            dial.server != but && dial.waiting.is_empty() && self.all.get(&dial.server).is_some_and(free)
+        };
+        self.dials.iter().find(|(_, dial)| idle(dial)).map(|(id, _)| *id)
+    }
+
     fn is_full(&self) -> bool {
         self.conns.len() + self.dials.len() >= self.most
     }
@@ -442,10 +451,15 @@
         }
     }
 
-    /// Sees to it that a server can be dialled: where the budget is used up, the connection that is missed least is
-    /// closed. A server that holds calls is not lost with it: it tells their end on the next one.
+    /// Sees to it that a server can be dialled: where the budget is used up, a dial for which nobody waits is given up,
+    /// else the connection that is missed least is closed. A server that holds calls is not lost with it: it tells
+    /// their end on the next one.
     fn make_room(&mut self, server: ServerId) -> bool {
         while self.servers.is_full() {
+            if let Some(dial) = self.servers.idle_dial(server) {
+                self.stop_dial(dial);
+                continue;
+            }
             let Some(least) = self.servers.least(server) else { return false };
             let Some(gone) = self.servers.conns.remove(&least) else { return false };
             if let Some(server) = self.servers.all.get_mut(&gone.server) {
--- a/crates/lemoncleat-access/tests/answers.rs
+++ b/crates/lemoncleat-access/tests/answers.rs
@@ -415,26 +415,58 @@
     assert_eq!((codes(&written), methods(&written)), (vec![200], vec![Method::Ack, Method::Bye]));
 }
 
-/// Calls stand at many more servers than there may be connections: each server gets one in its turn, so that it can
-/// tell what ended there, and connections are not torn from one another at every look.
-#[test]
-fn servers_with_calls_that_outnumber_the_connections_take_turns() {
-    const SERVERS: u32 = 200;
-    let at = |number: u32| format!("127.3.0.{}:5070", number + 1);
+const MANY: u32 = 200;
+
+fn place_of(number: u32) -> std::net::SocketAddr {
+    address(&format!("127.3.0.{}:5070", number + 1))
+}
+
+/// A node with 256 descriptors, so 80 connections to servers, before 200 servers that are all down.
+fn many_servers() -> World {
     let line = |number: u32| {
         format!(
             r#"{{"name":"s-{number:08x}","address":"{}","zone":"east","type":"std","group":{number},"status":"up"}}"#,
-            at(number)
+            place_of(number)
         )
     };
-    let all: Vec<_> = (0..SERVERS).map(line).collect();
-    let mut world = World::down(|text| {
+    let all: Vec<_> = (0..MANY).map(line).collect();
+    World::down(|text| {
         let from = text.find("{\"name\":\"s-a\"").expect("the first server");
         let to = text.find("]}}]},").expect("the end of the list");
         let text = format!("{}{}{}", &text[..from], all.join(","), &text[to..]);
         text.replace("\"balancers\":2", "\"balancers\":300").replace("\"allowed_pools\":[[0,1],[0,1]],", "")
-    });
-    world.up = (0..SERVERS).map(|number| address(&at(number))).chain([journal()]).collect();
+    })
+}
+
+/// The whole budget is dials that don't come up: a set-up whose server has none is not refused for that.
+#[test]
+fn dials_for_which_nobody_waits_make_room_for_a_set_up() {
+    let mut world = many_servers();
+    world.input(lemoncleat_access::Input::Timeout);
+    assert_eq!(world.dials.iter().filter(|(_, to)| *to != journal()).count(), 80);
+    let dialled: Vec<_> = world.dials.iter().map(|(_, to)| *to).collect();
+    world.up = (0..MANY).map(place_of).filter(|to| !dialled.contains(to)).collect();
+    let caller = world.caller();
+    let mut met = 0;
+    for number in 0..100_u64 {
+        let id = format!("{number:016x}");
+        world.bytes(caller, &invite(&id, "voice", &format!("dest:{};width:1;via:-1", 2 * number)));
+        for (_, conn, asked) in world.invites() {
+            world.bytes(conn, &ok(&asked));
+            met += 1;
+        }
+        assert_ne!(world.answers.get(&id).map(Vec::as_slice), Some(&[503][..]), "no room");
+    }
+    assert!(met > 20, "{met} reached a server");
+    assert!(world.dials.len() + world.conns.len() <= 81);
+}
+
+/// Calls stand at many more servers than there may be connections: each server gets one in its turn, so that it can
+/// tell what ended there, and connections are not torn from one another at every look.
+#[test]
+fn servers_with_calls_that_outnumber_the_connections_take_turns() {
+    let mut world = many_servers();
+    world.up = (0..MANY).map(place_of).chain([journal()]).collect();
     world.pass(MS);
     let caller = world.caller();
     let mut held = Vec::new();
