Diameter front: no attempt begins for a client that has no connection

Seen: a call whose client's connection was lost while its attempt was out went on as before. Refused by the first server 0.2 s later, it was sent to the second one, and so on for `client_return` (5 s) or until its deadline, for a caller that nobody could answer. Only the loss of the client for good (`client_is_gone`) ended it.

Ruled out: treating the loss at once as the callers' leaving. RFC 6733 section 5.5.4 has a client come back and repeat its requests, and an answer that arrives meanwhile waits for the repeat (tests of calls.rs hold that). Dropping the request from the table of repeats instead: a repeat would then start a new call beside an attempt whose release wait is not over.

Changed: when the module asks for an attempt and the client has no connection, nothing is sent; the module hears once that the attempt never left and the call is closed, and the failure is kept for a repeat of the request. An attempt that is out at the loss is seen through for the repeat, as before.

Result: without the change no_attempt_begins_while_the_client_is_away saw an AAR at the second server. With it all tests of lemoncleat-node pass.

--- a/crates/lemoncleat-node/src/node/calls.rs
+++ b/crates/lemoncleat-node/src/node/calls.rs
@@ -263,6 +263,25 @@
     // ---- Calls: to servers ----
 
     pub(super) fn send_call(&mut self, id: u64, server: ServerId, timeout: Micros) {
+        let Some(call) = self.calls.get(&id) else { return };
+        if self.peers[call.client.0 as usize].peer.connection().is_none() {
+            // Nobody waits for it here; what could tell better, its repeat, comes on a connection. The answer is
+            // kept for one, so that nothing of this call runs a second time beside what was given up.
+            self.stats.left += 1;
+            let attempt = call.attempts;
+            self.answer_failure(id, code::UNABLE_TO_DELIVER, "its client was away", 0);
+            self.events.push_back(Event::Ended {
+                call: CallId(id),
+                attempt,
+                server,
+                outcome: Outcome::Moot,
+                lag: 0,
+                closed: true,
+                reason: Reason::None,
+                report: Report::default(),
+            });
+            return;
+        }
         let Some(call) = self.calls.get_mut(&id) else { return };
         debug_assert!(call.out.is_none(), "a second attempt while one is out");
         let number = call.attempts;
--- a/crates/lemoncleat-node/tests/endings.rs
+++ b/crates/lemoncleat-node/tests/endings.rs
@@ -148,6 +148,45 @@
     assert!(bench.take(second).is_empty(), "its call stands");
 }
 
+// ---- A client that is away ----
+
+#[test]
+fn no_attempt_begins_while_the_client_is_away() {
+    let mut bench = Bench::new(settings());
+    let server = bench.server("a.example");
+    let other = bench.server("b.example");
+    let client = bench.client("front.example");
+    let id = bench.call(client, "s;1");
+    let (at, request) = attempt(&mut bench, &[server, other]);
+    bench.input(Input::Closed(client));
+    bench.pass(200 * MS);
+    bench.answer(at, &request, code::TOO_BUSY);
+    let mut sent = Vec::new();
+    for _ in 0..40 {
+        bench.pass(50 * MS);
+        for conn in [server, other] {
+            sent.extend(got(&mut bench, conn));
+        }
+    }
+    assert!(sent.iter().all(|(name, _)| *name != "AAR"), "{sent:?}");
+    // Its repeat is the same transaction and has its answer; nothing runs a second time.
+    let client = bench.client("front.example");
+    bench.bytes(client, &aar("front.example", "s;1", 90, id, true));
+    assert_ne!(bench.one(client, "AAA").result(), code::SUCCESS);
+    assert!(bench.take(server).is_empty() && bench.take(other).is_empty());
+    assert_eq!(bench.node.stats().setting_up, 0);
+}
+
+/// The one attempt that is out, and where.
+fn attempt(bench: &mut Bench, servers: &[ConnId]) -> (ConnId, Got) {
+    let mut all: Vec<(ConnId, Got)> = Vec::new();
+    for conn in servers {
+        all.extend(bench.take(*conn).into_iter().filter(|got| got.name() == "AAR").map(|got| (*conn, got)));
+    }
+    assert_eq!(all.len(), 1);
+    all.remove(0)
+}
+
 // ---- Releases ----
 
 #[test]
