Diameter front: a repeat whose answer is forgotten leaves no call standing behind a failure

Read and then seen: the table of repeats forgets answers after `duplicates`, and earlier when it is full (`max_duplicates`), also of calls that stand. A repeat of such a request counted as new, found its own session under way and was answered 5012, while the call stood on at its server and in the node; a client that repeats has not heard of it, and nobody would end it.

Ruled out: keeping answers of standing calls for as long as they stand, which has no bound in bytes and helps only repeats after the caller's deadline, which get no answer anyway.

Changed: when a request is turned away and the call under its session is its own, that call is cut: released at its server and told to the client.

--- a/crates/lemoncleat-node/src/node/calls.rs
+++ b/crates/lemoncleat-node/src/node/calls.rs
@@ -151,6 +151,13 @@
             let answer = self.told_to_return(text, answer.add_str(d::ERROR_MESSAGE, text)).build();
             self.duplicates.answer(self.now, &request, &answer);
             self.answer_set_up(conn, Some(deadline), answer);
+            // A repeat whose answer is kept no longer: its call must not stand behind this failure.
+            let forgotten = self.sessions.get(session).copied();
+            let forgotten = forgotten.filter(|id| self.calls.get(id).is_some_and(|c| c.request == request));
+            if let Some(id) = forgotten {
+                self.move_call(id, client, conn);
+                self.cut(id, "its answer was forgotten");
+            }
             return;
         };
         let id = self.next_call;
--- a/crates/lemoncleat-node/tests/endings.rs
+++ b/crates/lemoncleat-node/tests/endings.rs
@@ -148,6 +148,26 @@
     assert!(bench.take(second).is_empty(), "its call stands");
 }
 
+// ---- Answers forgotten ----
+
+#[test]
+fn a_repeat_whose_answer_was_forgotten_leaves_nothing_standing_behind_a_failure() {
+    let mut small = settings();
+    small.max_duplicates = 1;
+    let mut bench = Bench::new(small);
+    let server = bench.server("a.example");
+    let client = bench.client("front.example");
+    let id = stands(&mut bench, client, server, "s;1");
+    stands(&mut bench, client, server, "s;2");
+    bench.bytes(client, &aar("front.example", "s;1", 90, id, true));
+    let at_client = bench.take(client);
+    let at_client: Vec<_> = at_client.iter().map(|got| (got.name(), got.session(), got.result())).collect();
+    assert_eq!(at_client[0], ("AAA", "s;1".to_owned(), code::UNABLE_TO_COMPLY));
+    assert_eq!(at_client[1].0, "ASR");
+    assert_eq!(got(&mut bench, server), [("STR", "s;1".to_owned())]);
+    assert_eq!(bench.node.stats().standing, 1);
+}
+
 // ---- A client that is away ----
 
 #[test]
