Diameter front: calls at a server taken off the list end with its connection

Read and then seen: when the list takes a server away its calls are cut and DPR is sent, but answers to attempts that are out there still count, so a call may come to stand on the closing connection. Nothing ended it when the connection was gone, as the list had been dealt with: it was cut only `server_return` (10 s) later, a wait for a server that is not dialled again.

Ruled out: giving the attempts up at the news. The server may still answer them in time, and a set-up that may have run has to wait out the release time before it goes elsewhere.

Changed: when a connection with a server that the list has taken away goes down, what stands there is cut at once.

Result: without the change a_call_that_comes_to_stand_at_a_server_taken_away_is_cut_when_the_connection_ends got no ASR.

--- a/crates/lemoncleat-node/src/node/peers.rs
+++ b/crates/lemoncleat-node/src/node/peers.rs
@@ -362,6 +362,16 @@
             (Role::Server(_), _) => timing.server_return,
             (Role::Member(_), _) => return,
         };
+        let taken_away = match role {
+            Role::Server(server) => {
+                self.servers.get(server).is_some_and(|server| server.listed == Availability::Gone)
+            }
+            _ => false,
+        };
+        if taken_away {
+            // It is not dialled again: what came to stand there since the list said so is over now.
+            self.cut_calls(id, "its server was taken away");
+        }
         if self.stopping {
             if role == Role::Client {
                 self.client_is_gone(id);
--- a/crates/lemoncleat-node/tests/endings.rs
+++ b/crates/lemoncleat-node/tests/endings.rs
@@ -2,10 +2,11 @@
 
 mod common;
 
-use common::{aar, settings, str_of, Bench, Got, MS};
+use common::{aar, entry, settings, str_of, Bench, Got, MS};
+use lemoncleat::Availability;
 use lemoncleat_diameter::dictionary as d;
 use lemoncleat_diameter::{result_code as code, MessageBuilder};
-use lemoncleat_node::{ConnId, Input};
+use lemoncleat_node::{ConnId, Input, ListNews};
 
 /// A server, a client, and a call of the client that stands.
 fn one_standing() -> (Bench, ConnId, ConnId) {
@@ -318,3 +319,21 @@
     assert_eq!(released, ["s;1", "s;2"].map(|session| ("STR", session.to_owned())));
     assert_eq!(bench.node.stats().standing, 0);
 }
+
+// ---- The list ----
+
+#[test]
+fn a_call_that_comes_to_stand_at_a_server_taken_away_is_cut_when_the_connection_ends() {
+    let mut bench = Bench::new(settings());
+    let server = bench.server("a.example");
+    let client = bench.client("front.example");
+    bench.call(client, "s;1");
+    let attempt = bench.one(server, "AAR");
+    bench.input(Input::List(ListNews::Complete(vec![entry("b.example", Availability::Ready)])));
+    assert_eq!(bench.names(server), ["DPR"]);
+    bench.answer(server, &attempt, code::SUCCESS);
+    assert_eq!(bench.one(client, "AAA").result(), code::SUCCESS);
+    bench.input(Input::Closed(server));
+    assert_eq!(bench.one(client, "ASR").session(), "s;1", "the server does not come back");
+    assert_eq!(bench.node.stats().standing, 0);
+}
