Access: a closed output ends no node, and unusable settings are told with their file

Seen: started with a standard output whose reader had gone, the process panicked in println! before it served ("listening on ...", run() in lemoncleat-cli/src/access.rs), and would have again at its last line, exit code 101 behind an ending in order. And a configuration without classes ended with "unusable settings: no classes": neither file nor place.

Ruled out: the log itself. With standard error there, a line that can't be written to standard output is told there and dropped. Where both are gone the log panics too; that stands in lemoncleat-service/src/log.rs.

Change: both lines are written with their failure passed over; what the module says of the settings comes with the file's name and `settings`, with exit code 2 like every other fault of the configuration.

--- a/crates/lemoncleat-cli/src/access.rs
+++ b/crates/lemoncleat-cli/src/access.rs
@@ -1,12 +1,13 @@
 //! `lemoncleat access`.
 
+use std::io::Write;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
 use async_signal::Signal;
 use lemoncleat_service::{
     init_log, listen_for_callers, read_access_config, serve_access, AccessControl, AccessSettings, LogFormat,
-    LogTo,
+    LogTo, ServiceError,
 };
 
 use crate::{signals, Failure};
@@ -22,6 +23,11 @@
     std::env::var(name).ok().filter(|value| !value.is_empty())
 }
 
+/// A line on standard output. A node serves on, and ends in order, when nobody is there to read it.
+fn say(line: &str) {
+    let _ = writeln!(std::io::stdout(), "{line}");
+}
+
 pub fn run() -> Result<(), Failure> {
     // Before all else: a signal that comes while the configuration is read must not end the process as a fault would.
     let heeded = signals::heed()?;
@@ -49,18 +55,22 @@
     let listener =
         listen_for_callers(address).map_err(|error| Failure::Failed(format!("{address}: {error}")))?;
     let bound = listener.local_addr().map_err(Failure::failed)?;
+    let name = file.display().to_string();
     let settings = AccessSettings { config, file, trace: level.contains("debug"), fleet };
     let stats = serve_access(settings, listener, |mailbox| {
-        println!("listening on {bound}");
+        say(&format!("listening on {bound}"));
         signals::pass_on(heeded, mailbox, |signal| match signal {
             Signal::Hup => AccessControl::Reload,
             _ => AccessControl::Stop,
         });
     });
-    let stats = stats.map_err(Failure::failed)?;
-    println!(
+    let stats = stats.map_err(|error| match error {
+        ServiceError::Settings(why) => Failure::Usage(format!("{name}: settings: {why}")),
+        ServiceError::Io(error) => Failure::failed(error),
+    })?;
+    say(&format!(
         "stopped: {} calls, {} stood, {} refused, {} failed, {} cut",
         stats.calls, stats.stood, stats.refused, stats.failed, stats.cut
-    );
+    ));
     Ok(())
 }
