Access: fewer descriptors than the configuration says are reckoned with

Seen: with RLIMIT_NOFILE at 80 and limits.sockets at 1,024 the node believes the configuration, so it never closes a connection for room; the listener fails with EMFILE and a newcomer waits until somebody leaves. With 100 callers that had shown themselves to be of use a paying one got nothing in the 8 s that it waits; with 400 silent ones four calls took 20 s, since room came only as they were closed after 2 s each.

Ruled out: a spin at EMFILE (the listener pauses for 50 ms), and the configured limits: at 64, 96 and 128 of both the same crowd costs no call.

Measured: the_limit_of_the_process_holds_where_it_is_below_the_told_one failed without it with "nothing came".

--- a/crates/lemoncleat-cli/src/access.rs
+++ b/crates/lemoncleat-cli/src/access.rs
@@ -9,6 +9,7 @@
     init_log, listen_for_callers, read_access_config, serve_access, AccessControl, AccessSettings, LogFormat,
     LogTo, ServiceError,
 };
+use rustix::process::{getrlimit, Resource};
 
 use crate::{signals, Failure};
 
@@ -19,10 +20,20 @@
 const LOG: &str = "LEMONCLEAT_LOG";
 const FLEET: &str = "LEMONCLEAT_FLEET";
 
+/// With fewer descriptors no configuration is believed either: the node's own would leave nothing for callers.
+const LEAST_DESCRIPTORS: u32 = 64;
+
 fn variable(name: &str) -> Option<String> {
     std::env::var(name).ok().filter(|value| !value.is_empty())
 }
 
+/// How many descriptors there are: what the configuration says, or what the machine gives this process where that is
+/// less. Beyond that nobody could be accepted until somebody leaves by himself.
+fn descriptors(told: u32) -> u32 {
+    let given = getrlimit(Resource::Nofile).current.unwrap_or(u64::MAX);
+    told.min(u32::try_from(given).unwrap_or(u32::MAX).max(LEAST_DESCRIPTORS))
+}
+
 /// A line on standard output. A node serves on, and ends in order, when nobody is there to read it.
 fn say(line: &str) {
     let _ = writeln!(std::io::stdout(), "{line}");
@@ -43,6 +54,7 @@
     if let Some(name) = variable(NAME) {
         config.name = name;
     }
+    config.limits.sockets = descriptors(config.limits.sockets);
     let level = variable(LOG).unwrap_or_else(|| "info".to_owned());
     init_log(LogTo::Output, LogFormat::Text, &level)
         .map_err(|error| Failure::Usage(format!("{LOG}: {error}")))?;
--- a/crates/lemoncleat-cli/tests/access_limits.rs
+++ b/crates/lemoncleat-cli/tests/access_limits.rs
@@ -6,6 +6,7 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::Stdio;
+use std::time::Duration;
 
 use access_common::*;
 use lemoncleat_sip::Method;
@@ -46,6 +47,32 @@
     }
 }
 
+/// The process has fewer descriptors than the configuration says, and those that hold them have been of use: a newcomer
+/// gets in within the time that it waits only because one of them is closed for it.
+#[test]
+fn the_limit_of_the_process_holds_where_it_is_below_the_told_one() {
+    let server = CallServer::new();
+    let (journal, asked) = journal();
+    let file = path("fewer");
+    std::fs::write(&file, config(server.address, journal, 1024)).expect("it is written");
+    let mut node = Node::run(command(&file, Some(80)), file);
+    assert_eq!(asked.recv_timeout(LONG).as_deref(), Ok("tail 1"));
+    let _hand = server.serve_from_now_on();
+    let mut crowd: Vec<_> = (0..100).map(|_| node.caller()).collect();
+    for wire in &mut crowd {
+        wire.send(&about(Method::Options, &id(0xaa)));
+    }
+    for call in 0..3 {
+        let mut caller = node.caller();
+        caller.send(&invite(&id(call)));
+        caller.stream.set_read_timeout(Some(Duration::from_millis(8_000))).expect("as long as it waits");
+        assert_eq!(caller.whole_call(&id(call)), 200);
+    }
+    node.signal(Signal::TERM);
+    assert_eq!(node.ended(), [3, 3, 0, 0, 0]);
+    drop(crowd);
+}
+
 /// What it writes, and its exit code.
 fn refused(mut command: std::process::Command) -> (Option<i32>, String) {
     let mut child = command.stdout(Stdio::null()).spawn().expect("it runs");
