Access: test of a node whose output and errors nobody reads

Fails on this tree with ": closed with no answer" or a refused connection: tracing-subscriber tells on standard error that a line could not be written to standard output, with eprintln!, which panics when that is closed too (the builder in lemoncleat-service/src/log.rs leaves log_internal_errors at its default).

--- a/crates/lemoncleat-cli/tests/access_limits.rs
+++ b/crates/lemoncleat-cli/tests/access_limits.rs
@@ -174,6 +174,11 @@
     without_readers("output", 15, false);
 }
 
+#[test]
+fn nobody_has_to_read_its_output_or_its_errors() {
+    without_readers("errors", 16, true);
+}
+
 /// Reads up to the end of a connection, which comes by itself.
 fn read_out(stream: &mut TcpStream) -> Vec<u8> {
     let mut all = Vec::new();
