Access: test of a crowd that is never quiet as room is needed

Seen in a trace of the same crowd asking for tests in turn: 80 descriptors in use, 75 connections said to be closed for room, the paying INVITE unread in a connection that the kernel had accepted and the node had not. A connection that is not quiet as room is needed comes back by keep_caller (lemoncleat-access/src/callers.rs), the table grows beyond its bound up to EMFILE, and since room is looked for only at an accept, none is made from then on.

--- a/crates/lemoncleat-cli/tests/access_limits.rs
+++ b/crates/lemoncleat-cli/tests/access_limits.rs
@@ -298,3 +298,33 @@
         other.ends();
     }
 }
+
+/// Connections that bring much at once are not quiet as room is needed, and nothing is owed to them once it is read.
+#[test]
+fn a_paying_caller_gets_through_a_crowd_that_is_never_quiet() {
+    let server = CallServer::new();
+    let (journal, asked) = journal();
+    let file = path("busy");
+    std::fs::write(&file, config(server.address, journal, 80)).expect("it is written");
+    let mut node = Node::run(command(&file, Some(80)), file);
+    assert_eq!(asked.recv_timeout(LONG).as_deref(), Ok("tail 1"));
+    let _hand = server.serve_from_now_on();
+    // More than is read at once lies on each of them before the first is accepted.
+    let test = about(Method::Options, &id(0xaa));
+    let many = test.repeat(20 * 1024 / test.len());
+    node.pause();
+    let mut crowd: Vec<_> = (0..100).map(|_| node.caller()).collect();
+    for wire in &mut crowd {
+        wire.send(&many);
+    }
+    node.signal(Signal::CONT);
+    for call in 0..3 {
+        let mut caller = node.caller();
+        caller.send(&invite(&id(call)));
+        caller.stream.set_read_timeout(Some(Duration::from_millis(8_000))).expect("as long as it waits");
+        assert_eq!(caller.whole_call(&id(call)), 200);
+    }
+    node.signal(Signal::TERM);
+    assert_eq!(node.ended(), [3, 3, 0, 0, 0]);
+    drop(crowd);
+}
