Access: the connection of a call that stands is kept for longer than an idle one

What was read (callers.rs, sweep_callers): a caller's connection without an open set-up was closed after 10 s without a message, also where a call stood whose release was still owed. On a node with little traffic no other connection of use need come within the release's 8 s.

Ruled out: keeping it for as long as the call stands. A caller that vanished without a word would hold it, and a_server_that_is_only_quiet_keeps_its_calls (tests/servers.rs) wants it closed after 30 s. Calls that nobody acknowledged say nothing of their caller, and are left out.

The change: where an acknowledged call stands its connection is closed after 20 s.

Measured: without the mend the_connection_of_a_call_that_stands_is_not_closed_as_idle in tests/endings.rs failed: after 15 s there was no connection for the release.

--- a/crates/lemoncleat-access/src/callers.rs
+++ b/crates/lemoncleat-access/src/callers.rs
@@ -1,6 +1,6 @@
 //! Callers' connections: who may hold one, what comes on it, when it is closed.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use lemoncleat_core::Micros;
 use lemoncleat_sip::{response, Malformed, Message, Method, Reader, Start};
@@ -8,7 +8,7 @@
 use crate::interface::{ConnId, Output};
 use crate::node::AccessNode;
 use crate::notice::Notice;
-use crate::timing::{BAD_MESSAGES, CROSSED, IDLE_CALLER, SILENT_CALLER};
+use crate::timing::{BAD_MESSAGES, CROSSED, HOLDING_CALLER, IDLE_CALLER, SILENT_CALLER};
 
 /// Descriptors that are neither callers' nor servers': listener, journal service, notes, files, and connections
 /// that are being closed gently.
@@ -16,6 +16,8 @@
 
 /// Why a connection is closed that may bring anything but the rest of a message.
 const UNFINISHED: &str = "a message without an end";
+/// Why one is closed that brings nothing any more.
+const IDLE: &str = "idle";
 /// Why one is closed whatever it may bring.
 const CONFLICT: &str = "two set-ups under one id";
 
@@ -332,9 +334,19 @@
             } else if caller.useful.is_none() && now - caller.accepted > SILENT_CALLER {
                 close.push((conn, "nothing of use came"));
             } else if caller.useful.is_some_and(|at| now - at > IDLE_CALLER) {
-                close.push((conn, "idle"));
+                close.push((conn, IDLE));
             }
         }
+        // Where a call stands that was acknowledged, its release is owed: that connection is kept for longer.
+        if close.iter().any(|(_, why)| *why == IDLE) {
+            let stand = self.standing.values().filter(|standing| standing.acked);
+            let held: BTreeSet<_> = stand.map(|standing| standing.caller).collect();
+            let long = |conn: &ConnId| {
+                let used = self.callers.conns.get(conn).and_then(|caller| caller.useful);
+                used.is_some_and(|at| now - at > HOLDING_CALLER)
+            };
+            close.retain(|(conn, why)| *why != IDLE || !held.contains(conn) || long(conn));
+        }
         for (conn, why) in close {
             // What a node short of processor time has not read yet may be a set-up, or the rest of one. A message
             // that comes byte by byte does not hold its connection by that.
--- a/crates/lemoncleat-access/src/timing.rs
+++ b/crates/lemoncleat-access/src/timing.rs
@@ -14,8 +14,10 @@
 /// A caller's connection that has brought nothing of use for this long after it was accepted is closed; so is
 /// one whose message stays unfinished for as long.
 pub const SILENT_CALLER: Micros = 2 * SECOND;
-/// A caller's connection without an open set-up is closed after this long without a message.
+/// A caller's connection without an open set-up is closed after this long without a message, ...
 pub const IDLE_CALLER: Micros = 10 * SECOND;
+/// ... and after this long where an acknowledged call stands: there may be no other connection for its release.
+pub const HOLDING_CALLER: Micros = 2 * IDLE_CALLER;
 /// An answer that its caller has not acknowledged when it closes its connection crossed the close if it is no older
 /// than this. An older one without an ACK says nothing: the ACK may have been lost, and the call be in use.
 pub const CROSSED: Micros = 500 * MS;
--- a/crates/lemoncleat-access/tests/endings.rs
+++ b/crates/lemoncleat-access/tests/endings.rs
@@ -549,3 +549,28 @@
     // A sixth of 48 MB, 512 bytes for each.
     assert_eq!(standing, 16_384 + 1);
 }
+
+/// The release of a call that stands is owed: a node with little traffic may have no other connection for it.
+#[test]
+fn the_connection_of_a_call_that_stands_is_not_closed_as_idle() {
+    for named in [false, true] {
+        let mut world = World::new();
+        let caller = world.caller();
+        let conn = if named {
+            world.bytes(caller, &invite(ID, "voice", "at:s-a"));
+            world.to(server_a())[0]
+        } else {
+            world.standing_call(caller, ID).1
+        };
+        for _ in 0..15 {
+            world.pass(SECOND);
+            world.tell_lines();
+        }
+        world.bytes(conn, &bye(ID, 16));
+        let released = world.read(caller);
+        assert_eq!(methods(&released), [Method::Bye]);
+        world.bytes(caller, &response(200, "OK", &released[0]).finish(b""));
+        world.pass(11 * SECOND);
+        assert!(world.closed.contains(&caller), "then it is idle");
+    }
+}
