Access: set-ups, withdrawals and closes in many orders leave nothing behind

What was wanted: beside the orders that are written out, many that nobody thought of. The test plays a hundred seeded orders of set-ups, answers, CANCELs (also before their INVITE), half-closes, closes and waits, and asks that no set-up is answered twice, that none is sent on once its caller has gone, that the guard never has to act, and that the node's and the module's tables are empty at the end.

The change: tests/withdrawals.rs only; nothing in the code.

--- a/crates/lemoncleat-access/tests/withdrawals.rs
+++ b/crates/lemoncleat-access/tests/withdrawals.rs
@@ -279,3 +279,92 @@
         assert_eq!(world.answers[ID], [200]);
     }
 }
+
+/// A generator of numbers that are the same each time (SplitMix64).
+struct Numbers(u64);
+
+impl Numbers {
+    fn below(&mut self, bound: usize) -> usize {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut mixed = (self.0 ^ (self.0 >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        ((mixed ^ (mixed >> 31)) % bound as u64) as usize
+    }
+}
+
+/// Set-ups, answers, withdrawals, half-closes and closes in many orders: no set-up is answered twice, nothing is sent
+/// on for a caller that has gone, and nothing is left in any table.
+#[test]
+fn in_whatever_order_callers_leave_nothing_is_begun_for_them_and_nothing_is_left() {
+    for seed in 0..100 {
+        let mut numbers = Numbers(seed);
+        let mut world = World::new();
+        let mut callers: Vec<_> = (0..3).map(|_| world.caller()).collect();
+        let mut leaving = std::collections::BTreeSet::new();
+        let mut sent: Vec<(String, lemoncleat_access::ConnId)> = Vec::new();
+        let mut gone = std::collections::BTreeSet::new();
+        let mut out = Vec::new();
+        for _ in 0..120 {
+            let caller = callers[numbers.below(callers.len())];
+            match numbers.below(10) {
+                0..3 => {
+                    let id = format!("{:016x}", 0xabc000 + sent.len());
+                    let class = ["voice", "dear"][numbers.below(2)];
+                    if leaving.contains(&caller) {
+                        gone.insert(id.clone());
+                    }
+                    sent.push((id.clone(), caller));
+                    world.bytes(caller, &invite_for(&id, class, LEGS, "3000"));
+                }
+                3 | 4 if !out.is_empty() => {
+                    let (conn, asked) = out.swap_remove(numbers.below(out.len()));
+                    let answer = match numbers.below(5) {
+                        0 | 1 => ok(&asked),
+                        2 => refusal(&asked, 503, "all_trunks_busy"),
+                        3 => refusal(&asked, 504, ""),
+                        _ => refusal(&asked, 480, ""),
+                    };
+                    if !world.closed.contains(&conn) {
+                        world.bytes(conn, &answer);
+                    }
+                }
+                5 => {
+                    // Also of set-ups that come only afterwards.
+                    let id = format!("{:016x}", 0xabc000 + numbers.below(sent.len() + 2));
+                    world.bytes(caller, &about(Method::Cancel, &id));
+                    gone.insert(id);
+                }
+                6 => {
+                    world.input(lemoncleat_access::Input::Leaving(caller));
+                    leaving.insert(caller);
+                    gone.extend(sent.iter().filter(|(_, conn)| *conn == caller).map(|(id, _)| id.clone()));
+                }
+                7 => {
+                    world.close(caller);
+                    gone.extend(sent.iter().filter(|(_, conn)| *conn == caller).map(|(id, _)| id.clone()));
+                    callers.retain(|conn| *conn != caller);
+                    callers.push(world.caller());
+                }
+                _ => world.pass(numbers.below(200) as i64 * MS),
+            }
+            // What a caller that left had out stays out until the server hears of it; new ones are its end.
+            for (_, conn, asked) in world.invites() {
+                let id = asked.call_id().expect("an id");
+                assert!(!gone.contains(id), "seed {seed}: {id} sent on after its caller had gone");
+                out.push((conn, asked));
+            }
+        }
+        world.pass(10 * SECOND);
+        let late = world.invites();
+        assert!(
+            late.iter().all(|(_, _, asked)| !gone.contains(asked.call_id().expect("an id"))),
+            "seed {seed}"
+        );
+        for (id, codes) in &world.answers {
+            assert_eq!(codes.len(), 1, "seed {seed}: {id} was answered {codes:?}");
+        }
+        assert_eq!(world.node.stats().overdue, 0, "seed {seed}");
+        let Notice::Tables { open, module, .. } = world.tables() else { panic!("tables") };
+        assert_eq!((open, module.calls, module.waiting), (0, 0, 0), "seed {seed}");
+    }
+}
