--- a/crates/lemoncleat-access/src/callers.rs
+++ b/crates/lemoncleat-access/src/callers.rs
@@ -47,8 +47,8 @@
 /// All of them.
 pub(crate) struct Callers {
     pub(crate) conns: BTreeMap<ConnId, Caller>,
-    /// Those that are closed unless something waits there to be read, and why: the driver says so before the next
-    /// [`Input::Timeout`](crate::Input::Timeout), and until then nothing of them is given up.
+    /// Those that are closed unless something waits there to be read, and why: the driver says so before the
+    /// next [`Input::Timeout`](crate::Input::Timeout), and until then nothing of them is given up.
     closing: BTreeMap<ConnId, (Caller, &'static str)>,
     most: usize,
 }
@@ -76,9 +76,10 @@
         self.conns.get(&conn).is_some_and(|caller| caller.leaving)
     }
 
-    /// Whom to close for room: of those without an open set-up one whose caller is leaving, then one that has brought
-    /// nothing yet, the oldest first, then one that nobody has proven, then the one that has been quiet longest.
-    /// Last of all come those of which half a message was read, and those known to have something to be read.
+    /// Whom to close for room: of those without an open set-up one whose caller is leaving, then one that has
+    /// brought nothing yet, the oldest first, then one that nobody has proven, then the one that has been
+    /// quiet longest. Last of all come those of which half a message was read, and those known to have
+    /// something to be read.
     fn least(&self) -> Option<ConnId> {
         let free = self.conns.iter().filter(|(_, caller)| caller.open == 0);
         let rank = |caller: &Caller| {
@@ -101,7 +102,8 @@
 
 impl AccessNode {
     pub(crate) fn caller_accepted(&mut self, conn: ConnId) {
-        // One more than is needed where some stayed that were to be closed: the table shrinks to its size again.
+        // One more than is needed where some stayed that were to be closed: the table shrinks to its size
+        // again.
         let over = (self.callers.conns.len() + 1).saturating_sub(self.callers.most).min(2);
         for still in 0..over {
             match self.callers.least() {
@@ -226,9 +228,9 @@
         }
     }
 
-    /// A connection brought a second set-up under the id of one of its own. Nothing can be answered to it that would
-    /// not be taken for the first one's answer, so its refusal is the end of the connection: once nothing is open
-    /// there, so that the first is not disturbed, but within its time.
+    /// A connection brought a second set-up under the id of one of its own. Nothing can be answered to it
+    /// that would not be taken for the first one's answer, so its refusal is the end of the connection: once
+    /// nothing is open there, so that the first is not disturbed, but within its time.
     pub(crate) fn caller_conflict(&mut self, conn: ConnId) {
         self.stats.bad_callers += 1;
         let now = self.now;
@@ -263,8 +265,8 @@
         }
     }
 
-    /// A caller has ended its half of a connection: the set-ups open on it are given up, and none is begun that
-    /// comes on it from now on.
+    /// A caller has ended its half of a connection: the set-ups open on it are given up, and none is begun
+    /// that comes on it from now on.
     pub(crate) fn caller_leaving(&mut self, conn: ConnId) {
         match self.callers.conns.get_mut(&conn) {
             Some(caller) if !caller.leaving => caller.leaving = true,
@@ -348,8 +350,8 @@
             close.retain(|(conn, why)| *why != IDLE || !held.contains(conn) || long(conn));
         }
         for (conn, why) in close {
-            // What a node short of processor time has not read yet may be a set-up, or the rest of one. A message
-            // that comes byte by byte does not hold its connection by that.
+            // What a node short of processor time has not read yet may be a set-up, or the rest of one. A
+            // message that comes byte by byte does not hold its connection by that.
             let trickles = self.callers.conns.get(&conn).and_then(|caller| caller.partial);
             let over = trickles.is_some_and(|since| now - since > SILENT_CALLER + SILENT_CALLER / 4);
             if over || why == CONFLICT {
--- a/crates/lemoncleat-access/src/calls.rs
+++ b/crates/lemoncleat-access/src/calls.rs
@@ -255,16 +255,16 @@
         Some(standing)
     }
 
-    /// A caller's withdrawal, or its close, crossed the answer: nobody is there to speak. The call is released on
-    /// both sides, for the caller may have read the answer meanwhile.
+    /// A caller's withdrawal, or its close, crossed the answer: nobody is there to speak. The call is
+    /// released on both sides, for the caller may have read the answer meanwhile.
     fn crossed_answer(&mut self, id: CallId) {
         let Some(standing) = self.release_by_caller(id, 16) else { return };
         self.trace_id(id, "given up as it was answered");
         self.release_to_caller(id, standing.id, standing.called, 16, standing.caller);
     }
 
-    /// A connection was closed by its caller: what was answered there just before and not acknowledged, the caller
-    /// has not read. Any other call that stands belongs to no connection and goes on.
+    /// A connection was closed by its caller: what was answered there just before and not acknowledged, the
+    /// caller has not read. Any other call that stands belongs to no connection and goes on.
     pub(crate) fn release_unread(&mut self, conn: ConnId) {
         let now = self.now;
         let unread = self.standing.iter().filter(|(_, standing)| {
@@ -275,8 +275,8 @@
         }
     }
 
-    /// A caller withdrew its set-up: that is given up and answered so. A copy of its INVITE that is read later, on
-    /// another connection, is not begun.
+    /// A caller withdrew its set-up: that is given up and answered so. A copy of its INVITE that is read
+    /// later, on another connection, is not begun.
     fn terminated(&mut self, id: CallId) {
         let Some(call) = self.calls.get(&id) else { return };
         let (conn, ended) = (call.conn, response(487, "Request Terminated", &call.request).finish(b""));
@@ -477,8 +477,9 @@
         self.stand(id, standing);
     }
 
-    /// An attempt was answered, and its caller stops waiting before that could arrive: the turn came late, and the
-    /// guard has not acted yet. What stands at the server is released, and the call failed as the guard does.
+    /// An attempt was answered, and its caller stops waiting before that could arrive: the turn came late,
+    /// and the guard has not acted yet. What stands at the server is released, and the call failed as the
+    /// guard does.
     fn answered_late(&mut self, id: CallId, conn: ConnId) {
         let Some(attempt) = self.take_attempt(id) else { return };
         if let Some(call) = self.calls.get(&id) {
--- a/crates/lemoncleat-access/src/interface.rs
+++ b/crates/lemoncleat-access/src/interface.rs
@@ -19,7 +19,8 @@
 pub enum Input<'a> {
     /// A caller connected.
     Accepted(ConnId),
-    /// A connection that was to be closed if it was quiet is not: it stays as it was, with what was read of it.
+    /// A connection that was to be closed if it was quiet is not: it stays as it was, with what was read of
+    /// it.
     NotQuiet(ConnId),
     /// A dial came about.
     Dialled(DialId, ConnId),
@@ -34,19 +35,22 @@
     Bytes(ConnId, &'a [u8]),
     /// Bytes came that may have waited to be read for as long as this, while the loop was at work.
     Waited(ConnId, &'a [u8], Micros),
-    /// The far side has ended its half of the connection: a FIN or a reset was seen. Bytes that it sent before may
-    /// still be given, and [`Input::Closed`] follows at the end.
+    /// The far side has ended its half of the connection: a FIN or a reset was seen. Bytes that it sent
+    /// before may still be given, and [`Input::Closed`] follows at the end.
     ///
-    /// A caller is taken as gone by this, also one that only half-closed (RFC 9293 section 3.6) and may still read:
-    /// its open set-ups are given up at once, and none that comes on the connection afterwards is begun. Each is
-    /// answered 480, which a caller that still reads may take as a refusal. Whatever else it sent before is heard,
-    /// calls that stand go on standing, and releases take other connections.
+    /// A caller is taken as gone by this, also one that only half-closed (RFC 9293 section 3.6) and may still
+    /// read: its open set-ups are given up at once, and none that comes on the connection afterwards is
+    /// begun. Each is answered 480, which a caller that still reads may take as a refusal. Whatever else it
+    /// sent before is heard, calls that stand go on standing, and releases take other connections.
     ///
-    /// Nothing for connections to call servers and the journal service, until they are closed: what was sent before
-    /// the end, answers and releases among it, is still to be read, and an attempt that ends then has not been
-    /// proven to have ended any sooner.
+    /// Nothing for connections to call servers and the journal service, until they are closed: what was sent
+    /// before the end, answers and releases among it, is still to be read, and an attempt that ends then has
+    /// not been proven to have ended any sooner.
     Leaving(ConnId),
-    /// The other side closed, or the connection broke.
+    /// The other side closed, or the connection broke, and all that it sent before was given.
+    ///
+    /// A caller's open set-ups are given up, and a call answered there in the last half second without an ACK is
+    /// released on both sides: the answer crossed the close. Other calls that stand belong to no connection.
     Closed(ConnId),
     /// A note of another node.
     Datagram(SocketAddr, &'a [u8]),
@@ -79,8 +83,8 @@
     Tell(SocketAddr, Vec<u8>),
     /// A line for the log.
     Notice(Notice),
-    /// All is done after [`Input::Terminate`]. Said again at each look at the connections for as long as it is so:
-    /// a set-up that still arrives is taken, and this waits for it.
+    /// All is done after [`Input::Terminate`]. Said again at each look at the connections for as long as it
+    /// is so: a set-up that still arrives is taken, and this waits for it.
     Stopped,
 }
 
--- a/crates/lemoncleat-access/src/releases.rs
+++ b/crates/lemoncleat-access/src/releases.rs
@@ -33,8 +33,8 @@
     /// Calls that stood here and are over, with their cause: a set-up with `at`, or a copy of theirs, may
     /// be read later than that.
     over: BTreeMap<CallId, (Micros, u16)>,
-    /// Set-ups that their callers withdrew, for INVITEs that are read later than that: on another connection the
-    /// CANCEL may come first.
+    /// Set-ups that their callers withdrew, for INVITEs that are read later than that: on another connection
+    /// the CANCEL may come first.
     withdrawn: BTreeMap<CallId, Micros>,
     /// Attempts that were given up, for answers that come late.
     abandoned: BTreeMap<(CallId, ServerId), Micros>,
@@ -63,21 +63,22 @@
         }
     }
 
-    /// The same of a release that a caller sent. Those of call servers keep half of the room for themselves: callers
-    /// may send anything.
+    /// The same of a release that a caller sent. Those of call servers keep half of the room for themselves:
+    /// callers may send anything.
     pub(crate) fn keep_told(&mut self, now: Micros, id: CallId, cause: u16) {
         if self.unknown.len() < RELEASES / 2 {
             self.keep_unknown(now, id, cause);
         }
     }
 
-    /// Whether a call of this id stood here and is over: its releases would be taken for those of another one.
+    /// Whether a call of this id stood here and is over: its releases would be taken for those of another
+    /// one.
     pub(crate) fn is_over(&self, id: CallId) -> bool {
         self.open.contains_key(&id) || self.over.contains_key(&id)
     }
 
-    /// The cause with which a call is known to be over, for as long as that is kept: a caller may name the call on
-    /// several connections before it reads of its end.
+    /// The cause with which a call is known to be over, for as long as that is kept: a caller may name the
+    /// call on several connections before it reads of its end.
     pub(crate) fn cause_known(&self, id: CallId) -> Option<u16> {
         let kept = self.unknown.get(&id).or_else(|| self.over.get(&id)).map(|(_, cause)| *cause);
         self.open.get(&id).map(|release| release.cause).or(kept)
@@ -185,8 +186,8 @@
         let now = self.now;
         self.releases.open.retain(|_, release| now - release.since < RELEASE_KEPT);
         self.releases.unknown.retain(|_, (at, _)| now - *at < UNKNOWN_KEPT);
-        // After that no set-up sent before its withdrawal is worth an attempt. For as long one that names a call may
-        // be on its way when the call ends.
+        // After that no set-up sent before its withdrawal is worth an attempt. For as long one that names a
+        // call may be on its way when the call ends.
         let crossing = self.longest_deadline.min(UNKNOWN_KEPT);
         self.releases.over.retain(|_, (at, _)| now - *at < crossing);
         self.releases.withdrawn.retain(|_, at| now - *at < crossing);
--- a/crates/lemoncleat-access/src/timing.rs
+++ b/crates/lemoncleat-access/src/timing.rs
@@ -16,10 +16,12 @@
 pub const SILENT_CALLER: Micros = 2 * SECOND;
 /// A caller's connection without an open set-up is closed after this long without a message, ...
 pub const IDLE_CALLER: Micros = 10 * SECOND;
-/// ... and after this long where an acknowledged call stands: there may be no other connection for its release.
+/// ... and after this long where an acknowledged call stands: there may be no other connection for its
+/// release.
 pub const HOLDING_CALLER: Micros = 2 * IDLE_CALLER;
-/// An answer that its caller has not acknowledged when it closes its connection crossed the close if it is no older
-/// than this. An older one without an ACK says nothing: the ACK may have been lost, and the call be in use.
+/// An answer that its caller has not acknowledged when it closes its connection crossed the close if it is no
+/// older than this. An older one without an ACK says nothing: the ACK may have been lost, and the call be in
+/// use.
 pub const CROSSED: Micros = 500 * MS;
 /// Messages that can't be used before a caller's connection is closed.
 pub const BAD_MESSAGES: u32 = 8;
--- a/crates/lemoncleat-access/tests/endings.rs
+++ b/crates/lemoncleat-access/tests/endings.rs
@@ -74,7 +74,8 @@
     world.input(Input::Leaving(caller));
     world.bytes(conn, &bye(ID, 16));
     assert_eq!((methods(&world.read(known)), world.read(caller).len()), (vec![Method::Bye], 0));
-    // Where there is no other, it waits for the next, also while the one that is leaving still brings something.
+    // Where there is no other, it waits for the next, also while the one that is leaving still brings
+    // something.
     let mut world = World::new();
     let caller = world.caller();
     let (_, conn) = world.standing_call(caller, ID);
@@ -132,7 +133,8 @@
     assert!(world.stopped, "and again for as long as it is so");
 }
 
-/// A connection that was to be closed and stays is as it was: each offset at which the rest may be unread in turn.
+/// A connection that was to be closed and stays is as it was: each offset at which the rest may be unread in
+/// turn.
 #[test]
 fn a_set_up_half_read_when_its_connection_was_to_be_closed_is_read_whole() {
     let set_up = invite(ID, "voice", LEGS);
@@ -164,7 +166,8 @@
     assert!(world.closed.contains(&caller));
 }
 
-/// A connection is not closed under half a set-up for want of anything before it, nor for being idle till then.
+/// A connection is not closed under half a set-up for want of anything before it, nor for being idle till
+/// then.
 #[test]
 fn a_connection_that_begins_a_set_up_after_a_long_silence_is_not_closed_under_it() {
     for (first, silence) in [(None, 1_950), (Some(about(Method::Options, NEXT)), 9_950)] {
@@ -269,7 +272,8 @@
     assert!(world.closed.contains(&caller));
 }
 
-/// A connection that can't be trusted any more is closed whatever is open on it, and what is open is refused first.
+/// A connection that can't be trusted any more is closed whatever is open on it, and what is open is refused
+/// first.
 #[test]
 fn set_ups_open_on_a_connection_that_is_hung_up_are_refused_there() {
     let mut world = World::new();
@@ -372,7 +376,8 @@
     assert_eq!(world.answers[ID], [200]);
 }
 
-/// A caller that names its call on another connection, before it reads of its end, does not make it stand again.
+/// A caller that names its call on another connection, before it reads of its end, does not make it stand
+/// again.
 #[test]
 fn a_call_that_is_over_is_not_taken_up_again() {
     type End = fn(&mut World, lemoncleat_access::ConnId, lemoncleat_access::ConnId);
@@ -417,7 +422,8 @@
     }
 }
 
-/// Named on two connections, a call stands once; its release goes to the last, or to another if that has gone.
+/// Named on two connections, a call stands once; its release goes to the last, or to another if that has
+/// gone.
 #[test]
 fn a_call_named_on_two_connections_stands_once() {
     for gone in [false, true] {
@@ -437,8 +443,8 @@
     }
 }
 
-/// Set-ups come for 0.6 s after SIGTERM, on open connections and new ones, and are read later still. Each is served,
-/// a second SIGTERM does not put the end off, and whoever leaves meanwhile is given up as always.
+/// Set-ups come for 0.6 s after SIGTERM, on open connections and new ones, and are read later still. Each is
+/// served, a second SIGTERM does not put the end off, and whoever leaves meanwhile is given up as always.
 #[test]
 fn what_comes_while_the_node_ends_is_served_and_nothing_else_is_begun() {
     let mut world = World::new();
@@ -498,8 +504,8 @@
     assert!(world.stopped);
 }
 
-/// Every set-up has a new id: one under the id of a call that is over is a copy, and its releases that are still on
-/// their way would end the new one.
+/// Every set-up has a new id: one under the id of a call that is over is a copy, and its releases that are
+/// still on their way would end the new one.
 #[test]
 fn a_copy_of_a_set_up_whose_call_is_over_is_not_begun() {
     for confirmed in [true, false] {
--- a/crates/lemoncleat-access/tests/withdrawals.rs
+++ b/crates/lemoncleat-access/tests/withdrawals.rs
@@ -79,8 +79,8 @@
     assert!(world.invites().is_empty());
 }
 
-/// Every place in which a set-up may wait when its caller withdraws it or closes: nothing is sent on afterwards, the
-/// attempt that is out is given up, and the module's tables are empty.
+/// Every place in which a set-up may wait when its caller withdraws it or closes: nothing is sent on
+/// afterwards, the attempt that is out is given up, and the module's tables are empty.
 #[test]
 fn whatever_a_set_up_waits_for_nothing_is_sent_on_once_its_caller_has_gone() {
     type Wait = fn(&mut World, lemoncleat_access::ConnId);
@@ -175,7 +175,8 @@
     }
 }
 
-/// An answer that is read when its caller has stopped waiting is nobody's: the call that stands there is released.
+/// An answer that is read when its caller has stopped waiting is nobody's: the call that stands there is
+/// released.
 #[test]
 fn an_answer_read_after_the_deadline_is_released_and_never_passed_on() {
     for (late, code) in [(1_490, 200), (1_499, 504), (1_501, 504), (1_900, 504)] {
@@ -224,7 +225,8 @@
     }
 }
 
-/// Its caller may have read the answer meanwhile: what stood is released toward it too, and once heard of no more.
+/// Its caller may have read the answer meanwhile: what stood is released toward it too, and once heard of no
+/// more.
 #[test]
 fn a_withdrawal_that_crossed_the_answer_is_followed_by_a_release() {
     for same in [true, false] {
@@ -292,8 +294,8 @@
     }
 }
 
-/// Set-ups, answers, withdrawals, half-closes and closes in many orders: no set-up is answered twice, nothing is sent
-/// on for a caller that has gone, and nothing is left in any table.
+/// Set-ups, answers, withdrawals, half-closes and closes in many orders: no set-up is answered twice, nothing
+/// is sent on for a caller that has gone, and nothing is left in any table.
 #[test]
 fn in_whatever_order_callers_leave_nothing_is_begun_for_them_and_nothing_is_left() {
     for seed in 0..100 {
