--- a/crates/lemoncleat-access/src/interface.rs
+++ b/crates/lemoncleat-access/src/interface.rs
@@ -49,8 +49,9 @@
     Leaving(ConnId),
     /// The other side closed, or the connection broke, and all that it sent before was given.
     ///
-    /// A caller's open set-ups are given up, and a call answered there in the last half second without an ACK is
-    /// released on both sides: the answer crossed the close. Other calls that stand belong to no connection.
+    /// A caller's open set-ups are given up, and a call answered there in the last half second without an ACK
+    /// is released on both sides: the answer crossed the close. Other calls that stand belong to no
+    /// connection.
     Closed(ConnId),
     /// A note of another node.
     Datagram(SocketAddr, &'a [u8]),
