--- a/crates/lemoncleat-access/src/journal.rs
+++ b/crates/lemoncleat-access/src/journal.rs
@@ -92,7 +92,8 @@
             // One that lasted was sound. Only reading a line proves nothing: the next may spoil it again.
             self.journal.pause = JOURNAL_REDIAL.0;
         }
-        // A dial that was waited for has been the pause already; the first of a series may not come at once either.
+        // A dial that was waited for has been the pause already; the first of a series may not come at once
+        // either.
         let begins = self.journal.dialled_at + self.spread(self.journal.pause);
         let journal = &mut self.journal;
         journal.line = Vec::new();
@@ -141,8 +142,9 @@
         }
     }
 
-    /// Whether to go on behind a line that can't be read. One that was spoilt on its way is sound when it is asked for
-    /// again; where the same event can't be read a second time, the service has it so, and those behind it count.
+    /// Whether to go on behind a line that can't be read. One that was spoilt on its way is sound when it is
+    /// asked for again; where the same event can't be read a second time, the service has it so, and those
+    /// behind it count.
     fn passes_over(&mut self, line: &[u8]) -> bool {
         let next = self.journal.pos.saturating_add(1);
         let number = std::str::from_utf8(line).ok().and_then(number_of_line).filter(|number| *number == next);
--- a/crates/lemoncleat-access/src/servers.rs
+++ b/crates/lemoncleat-access/src/servers.rs
@@ -85,7 +85,8 @@
     server: ServerId,
     /// Calls that still stand of those set up there.
     standing: usize,
-    /// Nothing was wrong with it: its server sees the close, and tells again on the next connection that opens.
+    /// Nothing was wrong with it: its server sees the close, and tells again on the next connection that
+    /// opens.
     sound: bool,
 }
 
@@ -122,9 +123,9 @@
 const MOST_OF_ONE: usize = 32;
 /// ... and of all nodes together, as long as each has one: what eight nodes, the most of a small fleet, may hold.
 const MOST_OF_ALL: usize = 8 * MOST_OF_ONE;
-/// A further attempt goes out this long after the module chose it, at most: half of the 50 ms by which the platform
-/// draws every time limit out. What the choice rested on, such as the window in which repeats are discarded, may be
-/// over later.
+/// A further attempt goes out this long after the module chose it, at most: half of the 50 ms by which the
+/// platform draws every time limit out. What the choice rested on, such as the window in which repeats are
+/// discarded, may be over later.
 const CHOICE_HOLDS: Micros = 25_000;
 
 impl Servers {
@@ -383,8 +384,8 @@
         id
     }
 
-    /// Servers at whose address another one stands are not to be dialled there any more: those that are gone, and those
-    /// that were listed before it and whose end is still to be told.
+    /// Servers at whose address another one stands are not to be dialled there any more: those that are gone,
+    /// and those that were listed before it and whose end is still to be told.
     fn displace(&mut self) {
         let here = self.servers.all.iter().filter(|(_, server)| server.availability != Availability::Gone);
         // Of several at one address the one that started last is kept, of those alike the last listed: numbers grow.
@@ -419,7 +420,8 @@
 
     // ---- Connections ----
 
-    /// A pause before something that all nodes do at once: this node's own part of it, the last quarter by its seed.
+    /// A pause before something that all nodes do at once: this node's own part of it, the last quarter by
+    /// its seed.
     pub(crate) fn spread(&self, pause: Micros) -> Micros {
         pause - pause / 1024 * (self.seed % 256) as Micros
     }
@@ -451,9 +453,9 @@
         }
     }
 
-    /// Sees to it that a server can be dialled: where the budget is used up, a dial for which nobody waits is given up,
-    /// else the connection that is missed least is closed. A server that holds calls is not lost with it: it tells
-    /// their end on the next one.
+    /// Sees to it that a server can be dialled: where the budget is used up, a dial for which nobody waits is
+    /// given up, else the connection that is missed least is closed. A server that holds calls is not lost
+    /// with it: it tells their end on the next one.
     fn make_room(&mut self, server: ServerId) -> bool {
         while self.servers.is_full() {
             if let Some(dial) = self.servers.idle_dial(server) {
@@ -631,15 +633,16 @@
         if bare && server.displaced {
             return self.lose_server(id, "another server stands at its address");
         }
-        // Where servers with calls outnumber the connections there may be, they take turns: what one could not tell
-        // it tells when its turn comes.
+        // Where servers with calls outnumber the connections there may be, they take turns: what one could
+        // not tell it tells when its turn comes.
         let turn = !server.owed.is_empty() || server.standing > 0 && now - server.fresh_at > CHECK;
         if bare && now >= server.dial_at && (!self.servers.is_full() || turn && self.make_room(id)) {
             self.dial_server(id);
         }
     }
 
-    /// The process that held a server's calls is no more: they are over, and there is nobody to release them to.
+    /// The process that held a server's calls is no more: they are over, and there is nobody to release them
+    /// to.
     fn lose_server(&mut self, id: ServerId, why: &'static str) {
         if let Some(server) = self.servers.all.get_mut(&id) {
             server.owed.clear();
@@ -730,7 +733,8 @@
                     self.server_message(conn, server, message);
                 }
                 Ok(None) => {
-                    // What trickles has not stopped: how long a set-up may wait for it is the module's to say.
+                    // What trickles has not stopped: how long a set-up may wait for it is the module's to
+                    // say.
                     state.partial = state.reader.is_partial().then_some(now);
                     return;
                 }
--- a/crates/lemoncleat-access/tests/answers.rs
+++ b/crates/lemoncleat-access/tests/answers.rs
@@ -106,8 +106,8 @@
     world.bytes(watch, format!("{line}\n").as_bytes());
 }
 
-/// A connection closed for room may have borne a release at that moment: its server gets a new one, on which it tells
-/// it again, though it goes on telling its state on another.
+/// A connection closed for room may have borne a release at that moment: its server gets a new one, on which
+/// it tells it again, though it goes on telling its state on another.
 #[test]
 fn a_release_that_crossed_a_close_for_room_is_heard_on_a_new_connection() {
     // Room for three connections to servers.
@@ -132,7 +132,8 @@
         world.bytes(conn, &ok(&asked));
         world.pass(MS);
     }
-    // Calls to new servers take the room of what is missed least: of the last server's, then of the first call's.
+    // Calls to new servers take the room of what is missed least: of the last server's, then of the first
+    // call's.
     lists(&mut world, 3, "s-a", "127.0.1.1:5070", "draining");
     lists(&mut world, 4, "s-c", server_c, "up");
     set_up(&mut world, 3, &mut open);
@@ -166,7 +167,8 @@
     assert_eq!(methods(&world.read(caller)), [lemoncleat_sip::Method::Bye]);
 }
 
-/// A release that comes while the only way to its server is in doubt goes out once that connection is heard again.
+/// A release that comes while the only way to its server is in doubt goes out once that connection is heard
+/// again.
 #[test]
 fn a_release_that_had_no_way_goes_out_once_its_connection_is_heard_again() {
     // One connection to each server.
@@ -190,8 +192,8 @@
     assert_eq!(methods(&world.read(conn)), [lemoncleat_sip::Method::Bye]);
 }
 
-/// A caller's release while its server has no connection and is removed from the list: it goes out on the connection
-/// that comes up, and a server whose process is gone is forgotten all the same.
+/// A caller's release while its server has no connection and is removed from the list: it goes out on the
+/// connection that comes up, and a server whose process is gone is forgotten all the same.
 #[test]
 fn a_release_owed_to_a_removed_server_is_written_before_it_is_forgotten() {
     for comes_back in [true, false] {
@@ -220,8 +222,8 @@
     }
 }
 
-/// An answer in two pieces, cut behind each of its bytes, and one that comes byte by byte and slowly: it is passed on
-/// whole, once.
+/// An answer in two pieces, cut behind each of its bytes, and one that comes byte by byte and slowly: it is
+/// passed on whole, once.
 #[test]
 fn an_answer_that_is_cut_at_any_byte_or_trickles_is_passed_on_whole() {
     for at in 0.. {
@@ -250,8 +252,8 @@
     }
 }
 
-/// An answer that breaks off behind any of its bytes, by a close: the attempt is over, what is passed on is another
-/// server's answer or a refusal, never a part.
+/// An answer that breaks off behind any of its bytes, by a close: the attempt is over, what is passed on is
+/// another server's answer or a refusal, never a part.
 #[test]
 fn an_answer_that_breaks_off_at_any_byte_is_never_passed_on() {
     for at in 0.. {
@@ -272,8 +274,8 @@
     }
 }
 
-/// An answer that stops within any of its bytes while the connection stays open: the attempt does not wait for the
-/// rest until its caller's time is over.
+/// An answer that stops within any of its bytes while the connection stays open: the attempt does not wait
+/// for the rest until its caller's time is over.
 #[test]
 fn an_answer_that_stops_at_any_byte_ends_its_attempt() {
     for at in 1.. {
@@ -344,7 +346,8 @@
     }
 }
 
-/// What else may come in front of, behind and instead of an answer: each case ends the attempt once and harms no other.
+/// What else may come in front of, behind and instead of an answer: each case ends the attempt once and harms
+/// no other.
 #[test]
 fn what_surrounds_an_answer_is_told_apart_from_it() {
     use lemoncleat_sip::{response, Method};
@@ -352,7 +355,8 @@
     let caller = world.caller();
     world.bytes(caller, &invite(ID, "voice", "dest:0;width:1;via:-1"));
     let (_, conn, asked) = world.invited();
-    // Progress, however much, and an answer to somebody unknown in front of ours; then ours twice and the release.
+    // Progress, however much, and an answer to somebody unknown in front of ours; then ours twice and the
+    // release.
     let mut bytes = Vec::new();
     for _ in 0..200 {
         bytes.extend(response(183, "Session Progress", &asked).finish(b""));
@@ -377,7 +381,8 @@
     assert!(codes(&world.read(caller)).iter().all(|code| *code != 200));
 }
 
-/// The second copy of a refusal comes when a further attempt is out at the same server: it does not end that one.
+/// The second copy of a refusal comes when a further attempt is out at the same server: it does not end that
+/// one.
 #[test]
 fn a_second_copy_of_a_refusal_does_not_end_the_next_attempt() {
     for code in [503, 500, 504] {
@@ -461,8 +466,8 @@
     assert!(world.dials.len() + world.conns.len() <= 81);
 }
 
-/// Calls stand at many more servers than there may be connections: each server gets one in its turn, so that it can
-/// tell what ended there, and connections are not torn from one another at every look.
+/// Calls stand at many more servers than there may be connections: each server gets one in its turn, so that
+/// it can tell what ended there, and connections are not torn from one another at every look.
 #[test]
 fn servers_with_calls_that_outnumber_the_connections_take_turns() {
     let mut world = many_servers();
--- a/crates/lemoncleat-access/tests/watch.rs
+++ b/crates/lemoncleat-access/tests/watch.rs
@@ -44,8 +44,8 @@
     open[0]
 }
 
-/// Lets time pass before a journal service that takes no connection up; gives when each dial began and ended. A dial
-/// fails at once (`refused`), or at its time.
+/// Lets time pass before a journal service that takes no connection up; gives when each dial began and ended.
+/// A dial fails at once (`refused`), or at its time.
 fn dials_in_vain(world: &mut World, span: Micros, refused: bool) -> Vec<(Micros, Micros)> {
     dials_in_vain_to(world, journal(), span, refused)
 }
@@ -106,8 +106,8 @@
     assert_eq!(goes_to(&mut world, 1), Some(server_b()));
 }
 
-/// A service that takes no connection up for 8 s: the next dial begins soon after the last one's end, so that the list
-/// is there again within 2 s of the service's return, however late in a dial that was.
+/// A service that takes no connection up for 8 s: the next dial begins soon after the last one's end, so that
+/// the list is there again within 2 s of the service's return, however late in a dial that was.
 #[test]
 fn behind_a_dial_that_took_its_time_there_is_no_further_pause() {
     let mut world = World::new();
@@ -121,8 +121,8 @@
     }
 }
 
-/// A service that refuses connections for 8 s is asked ever more seldom, at least once a second, and not by all nodes
-/// in step.
+/// A service that refuses connections for 8 s is asked ever more seldom, at least once a second, and not by
+/// all nodes in step.
 #[test]
 fn a_service_that_refuses_is_asked_seldom_and_by_each_node_in_its_own_step() {
     let begun = |seed: &str| {
@@ -140,8 +140,8 @@
     assert!((one[6].0 - other[6].0).abs() >= 200 * MS, "{one:?} {other:?}");
 }
 
-/// A line that can't be read, each time behind one that can: the service is not asked over and over without a pause,
-/// and calls are served meanwhile.
+/// A line that can't be read, each time behind one that can: the service is not asked over and over without a
+/// pause, and calls are served meanwhile.
 #[test]
 fn a_line_that_is_spoilt_each_time_does_not_make_a_tight_loop() {
     let mut world = World::new();
@@ -189,8 +189,8 @@
     assert!(world.closed.contains(&next));
 }
 
-/// The configuration moves the service while a dial to the old place is under way: that dial is given up, and a
-/// connection of it that comes up all the same is closed without a word on it.
+/// The configuration moves the service while a dial to the old place is under way: that dial is given up, and
+/// a connection of it that comes up all the same is closed without a word on it.
 #[test]
 fn a_move_in_mid_connect_leaves_the_old_dial_behind() {
     let mut world = World::down(|text| text);
@@ -217,8 +217,8 @@
     assert_eq!(world.raw(new), b"tail 1\n");
 }
 
-/// Bytes without the end of a line are not news: a service that trickles, and one that only accepts, are given up
-/// like one that is silent.
+/// Bytes without the end of a line are not news: a service that trickles, and one that only accepts, are
+/// given up like one that is silent.
 #[test]
 fn a_trickle_without_the_end_of_a_line_counts_as_silence() {
     for trickles in [true, false] {
@@ -255,8 +255,8 @@
     assert_eq!(servers, 1);
 }
 
-/// A new server is listed at the address of one that is not told gone yet: what answers there is the new one, and no
-/// set-up for the old one may reach it.
+/// A new server is listed at the address of one that is not told gone yet: what answers there is the new one,
+/// and no set-up for the old one may reach it.
 #[test]
 fn no_set_up_reaches_a_new_server_under_the_name_that_its_address_had() {
     // Calls of this class go to the first pool only; the new server stands in the second.
@@ -323,8 +323,8 @@
     assert!((one[6].0 - other[6].0).abs() >= 200 * MS, "{one:?} {other:?}");
 }
 
-/// An event that the service itself has in a form that nobody can read: it is asked for once more, and then those
-/// behind it are taken.
+/// An event that the service itself has in a form that nobody can read: it is asked for once more, and then
+/// those behind it are taken.
 #[test]
 fn an_event_that_can_not_be_read_twice_does_not_hide_those_behind_it() {
     let mut world = World::new();
@@ -361,8 +361,8 @@
     assert!(world.closed.contains(&second));
 }
 
-/// A set-up waits for a connection to the only server, which is told to drain: the module hears of that first, and does
-/// not choose the same server again.
+/// A set-up waits for a connection to the only server, which is told to drain: the module hears of that
+/// first, and does not choose the same server again.
 #[test]
 fn a_set_up_that_loses_its_dial_to_a_drain_is_not_chosen_for_the_same_server() {
     let mut world = World::new();
--- a/crates/lemoncleat-platform/src/settings.rs
+++ b/crates/lemoncleat-platform/src/settings.rs
@@ -147,8 +147,8 @@
 }
 
 impl SettingsConfig {
-    /// What can't be given a meaning: a class without its pools would go anywhere, and of two classes of one name one
-    /// could never be told.
+    /// What can't be given a meaning: a class without its pools would go anywhere, and of two classes of one
+    /// name one could never be told.
     ///
     /// # Errors
     ///
--- a/crates/lemoncleat-platform/tests/platform.rs
+++ b/crates/lemoncleat-platform/tests/platform.rs
@@ -116,7 +116,8 @@
     assert_eq!((names.number("b"), names.number("c"), names.name(2), names.name(9)), (1, 2, Some("c"), None));
 }
 
-/// A class whose pools are not told could go anywhere, and one of two classes of one name could never be meant.
+/// A class whose pools are not told could go anywhere, and one of two classes of one name could never be
+/// meant.
 #[test]
 fn settings_that_leave_a_class_without_its_pools_or_name_are_refused() {
     let one = r#"{"aim_us":1500000,"deadline_us":9000000,"effect":"retryable","name":"browse","worth":1.0}"#;
--- a/crates/lemoncleat-sip/src/reader.rs
+++ b/crates/lemoncleat-sip/src/reader.rs
@@ -128,8 +128,8 @@
         Ok(self.head.take().map(|(head, _)| Message { body, ..head }))
     }
 
-    /// Whether a head that is not whole can still become one. Looks at each byte of its first line once, and twice
-    /// when the line ends, however small the pieces are.
+    /// Whether a head that is not whole can still become one. Looks at each byte of its first line once, and
+    /// twice when the line ends, however small the pieces are.
     fn begins_well(&mut self) -> bool {
         if self.started {
             return true;
--- a/crates/lemoncleat-sip/tests/reader.rs
+++ b/crates/lemoncleat-sip/tests/reader.rs
@@ -224,7 +224,8 @@
     }
 }
 
-/// What comes byte by byte gets the verdict of what comes at once, at the same byte at the latest, up to the bound.
+/// What comes byte by byte gets the verdict of what comes at once, at the same byte at the latest, up to the
+/// bound.
 #[test]
 fn long_and_spoilt_first_lines_get_the_same_verdict_byte_by_byte() {
     let long = |byte: u8, count: usize| vec![byte; count];
