A node that ends waits for releases owed to servers; what finds no room is told when to return

And a set-up beyond the calls that may be held was refused with no time to come back (calls.rs), which every other refusal names where the settings allow it.

Change: mind_stop counts what is owed to servers; the refusal goes through the door with the settings' longest return.

Measured: without the change both new tests in tests/endings.rs failed, a_set_up_beyond_the_calls_... without Retry-After and a_node_that_ends_waits_for_releases_that_are_owed_to_call_servers with the node stopped.

--- a/crates/lemoncleat-access/src/calls.rs
+++ b/crates/lemoncleat-access/src/calls.rs
@@ -111,8 +111,7 @@
             return self.send(conn, response(480, "Temporarily Unavailable", &message).finish(b""));
         }
         if self.calls.len() >= self.most_open {
-            self.stats.refused += 1;
-            return self.send(conn, response(503, "Service Unavailable", &message).finish(b""));
+            return self.refuse_unheld(conn, &message);
         }
         let deadline = Deadline::new(self.came, invite.patience, ANSWER_MARGIN);
         let guard = self.wheel.set(deadline.last_moment(), Timer::Guard(id));
--- a/crates/lemoncleat-access/src/door.rs
+++ b/crates/lemoncleat-access/src/door.rs
@@ -1,9 +1,10 @@
 //! The one door by which answers to set-ups leave.
 
 use lemoncleat::{CallId, Event, Micros};
-use lemoncleat_sip::response;
+use lemoncleat_sip::{response, Builder, Message};
 
 use crate::calls::Call;
+use crate::interface::ConnId;
 use crate::node::AccessNode;
 use crate::notice::Notice;
 
@@ -25,16 +26,18 @@
         self.withdraw(id);
         let call = self.finish(id)?;
         self.close_events();
-        let mut builder = response(code, phrase, &call.request);
-        if let Some(back) = back {
-            // Whole seconds (RFC 3261 section 20.33), never sooner than meant.
-            builder = builder.header("Retry-After", (back + 999_999) / 1_000_000);
-        }
-        self.send(call.conn, builder.finish(body));
+        self.send(call.conn, final_response(code, phrase, back, &call.request).finish(body));
         self.trace(&call.id, || format!("answered {code}"));
         Some(call)
     }
 
+    /// A set-up for which there is no room is turned away before the module hears of it.
+    pub(crate) fn refuse_unheld(&mut self, conn: ConnId, message: &Message) {
+        self.stats.refused += 1;
+        let back = self.longest_return.filter(|back| *back > 0);
+        self.send(conn, final_response(503, "Service Unavailable", back, message).finish(b""));
+    }
+
     /// The module turns a call away.
     pub(crate) fn refuse(&mut self, id: CallId, retry_after: Micros) {
         let back = (retry_after > 0).then_some(retry_after);
@@ -62,3 +65,13 @@
         }
     }
 }
+
+/// A final response, with the time after which its caller may come back where one is named.
+fn final_response(code: u16, phrase: &str, back: Option<Micros>, request: &Message) -> Builder {
+    let builder = response(code, phrase, request);
+    match back {
+        // Whole seconds (RFC 3261 section 20.33), never sooner than meant.
+        Some(back) => builder.header("Retry-After", (back + 999_999) / 1_000_000),
+        None => builder,
+    }
+}
--- a/crates/lemoncleat-access/src/node.rs
+++ b/crates/lemoncleat-access/src/node.rs
@@ -60,6 +60,8 @@
     /// Calls that stand, at most, before more are taken up that callers only name.
     pub(crate) most_standing: usize,
     pub(crate) longest_deadline: Micros,
+    /// The time to come back that callers follow at most; `None` where they are told none.
+    pub(crate) longest_return: Option<Micros>,
     pub(crate) controller: Controller,
     pub(crate) wheel: Wheel<Timer>,
     pub(crate) callers: Callers,
@@ -112,6 +114,7 @@
             most_open: (memory / MEMORY_OF_CALL).min(held),
             most_standing: memory / MEMORY_OF_STANDING,
             longest_deadline,
+            longest_return: site.module.max_retry_hint,
             controller: Controller::new(site.module, config.seed)?,
             wheel: Wheel::new(),
             callers: Callers::new(sockets),
--- a/crates/lemoncleat-access/src/servers.rs
+++ b/crates/lemoncleat-access/src/servers.rs
@@ -160,6 +160,11 @@
         self.conns.contains_key(&conn)
     }
 
+    /// Releases that have had no way to their servers yet.
+    pub(crate) fn owed_len(&self) -> usize {
+        self.all.values().map(|server| server.owed.len()).sum()
+    }
+
     pub(crate) fn next_dial(&mut self) -> DialId {
         self.next_dial += 1;
         DialId(self.next_dial)
--- a/crates/lemoncleat-access/src/sweep.rs
+++ b/crates/lemoncleat-access/src/sweep.rs
@@ -51,7 +51,8 @@
     fn mind_stop(&mut self) {
         let Some(since) = self.stopping else { return };
         let age: Micros = self.now - since;
-        let silent = self.standing.is_empty() && self.releases.len() == 0;
+        let owed = self.releases.len() + self.servers.owed_len();
+        let silent = self.standing.is_empty() && owed == 0;
         let late = age > self.longest_deadline + STOP_STANDING;
         if age >= STOP_AFTER && self.calls.is_empty() && (silent || late) {
             if !std::mem::replace(&mut self.stopped, true) {
--- a/crates/lemoncleat-access/tests/endings.rs
+++ b/crates/lemoncleat-access/tests/endings.rs
@@ -580,3 +580,42 @@
         assert!(world.closed.contains(&caller), "then it is idle");
     }
 }
+
+/// What finds no room is refused at once, with a time to come back where the settings allow one.
+#[test]
+fn a_set_up_beyond_the_calls_that_may_be_held_is_told_when_to_come_back() {
+    for (allowed, told) in [("true", Some("2")), ("false", None)] {
+        let allow = format!("\"retry_after\":{allowed},\"max_retry_after_us\":1500000");
+        let mut world = World::with(|text| {
+            text.replace("\"retry_after\":false", &allow).replace("\"most_held\":20000", "\"most_held\":1")
+        });
+        let caller = world.caller();
+        world.bytes(caller, &invite(ID, "voice", LEGS));
+        world.bytes(caller, &invite(NEXT, "voice", LEGS));
+        let answers = world.read(caller);
+        assert_eq!((codes(&answers), answers[0].header("Retry-After")), (vec![503], told));
+        assert_eq!(answers[0].call_id(), Some(NEXT));
+    }
+}
+
+/// A call whose release had no way to its server yet goes on there: the node stays for it.
+#[test]
+fn a_node_that_ends_waits_for_releases_that_are_owed_to_call_servers() {
+    let mut world = World::new();
+    let caller = world.caller();
+    let (server, _) = world.standing_call(caller, ID);
+    world.up.remove(&server);
+    for conn in world.to(server) {
+        world.close(conn);
+    }
+    world.pass(100 * MS);
+    world.input(Input::Terminate);
+    world.bytes(caller, &bye(ID, 16));
+    world.pass(2 * SECOND);
+    assert!(!world.stopped, "its server has not heard of its end");
+    world.up.insert(server);
+    world.pass(2 * SECOND);
+    let conn = world.every.iter().rev().find(|(to, _)| *to == server).expect("it is dialled").1;
+    assert_eq!(methods(&world.read(conn)), [Method::Bye]);
+    assert!(world.stopped);
+}
