Access: a dial that fails for want of descriptors here says nothing of its server

Read: a dial refused by the node's own system (EMFILE) reached the core as one that a dark machine did not take up, so the server counted as unreachable, and after 5 s of that without a word from it (`VANISHED`, servers.rs) the calls that stand at a healthy server were told to their callers as cut. Set-ups that waited for the dial counted against its chance.

Ruled out: telling the two apart by time in the core; a refusal by a firewall comes at once too.

Change: a new input says that a dial failed here. What waited for it ends as never left, the pause grows as before, and the server's state stays as it was.

--- a/crates/lemoncleat-access/src/interface.rs
+++ b/crates/lemoncleat-access/src/interface.rs
@@ -31,6 +31,8 @@
         /// The machine refused it, at once.
         refused: bool,
     },
+    /// A dial failed for want of something here, as of descriptors: it tells nothing of the other side.
+    NotDialled(DialId),
     /// Bytes came.
     Bytes(ConnId, &'a [u8]),
     /// Bytes came that may have waited to be read for as long as this, while the loop was at work.
--- a/crates/lemoncleat-access/src/node.rs
+++ b/crates/lemoncleat-access/src/node.rs
@@ -167,6 +167,13 @@
                     self.server_dial_failed(dial, refused);
                 }
             }
+            Input::NotDialled(dial) => {
+                if self.journal.is_dial(dial) {
+                    self.journal_down("it can't be dialled from here");
+                } else {
+                    self.server_not_dialled(dial);
+                }
+            }
             Input::Bytes(conn, bytes) => self.bytes(conn, bytes),
             Input::Waited(conn, bytes, waited) => {
                 self.came = self.now - waited.max(0);
--- a/crates/lemoncleat-access/src/servers.rs
+++ b/crates/lemoncleat-access/src/servers.rs
@@ -543,17 +543,11 @@
     }
 
     pub(crate) fn server_dial_failed(&mut self, dial: DialId, refused: bool) {
-        let now = self.now;
-        let Some(failed) = self.servers.dials.remove(&dial) else { return };
+        let Some(failed) = self.take_failed_dial(dial) else { return };
         let id = failed.server;
         let (mut first, mut dead) = (false, false);
-        let held = self.servers.all.get(&id).map_or(0, |server| server.pause);
-        let pause = self.spread(held);
         if let Some(server) = self.servers.all.get_mut(&id) {
-            server.dials.remove(&dial);
             first = !std::mem::replace(&mut server.unreachable, true);
-            server.dial_at = now + pause;
-            server.pause = (2 * server.pause).min(REDIAL.1);
             // Connections that are still open would have been reset with the process.
             dead = refused && server.conns.is_empty();
         }
@@ -570,6 +564,29 @@
         self.mind_server(id);
     }
 
+    /// A dial could not be made for want of something here. What waited for it never left; of the server it says
+    /// nothing, so that calls that stand there are not taken for lost.
+    pub(crate) fn server_not_dialled(&mut self, dial: DialId) {
+        let Some(failed) = self.take_failed_dial(dial) else { return };
+        for call in failed.waiting {
+            self.end_attempt(call, Outcome::Moot, Reason::None, Report::default());
+        }
+        self.mind_server(failed.server);
+    }
+
+    /// Takes a dial that came to nothing off its server, which is not dialled again before a pause.
+    fn take_failed_dial(&mut self, dial: DialId) -> Option<Dial> {
+        let failed = self.servers.dials.remove(&dial)?;
+        let held = self.servers.all.get(&failed.server).map_or(0, |server| server.pause);
+        let pause = self.spread(held);
+        if let Some(server) = self.servers.all.get_mut(&failed.server) {
+            server.dials.remove(&dial);
+            server.dial_at = self.now + pause;
+            server.pause = (2 * server.pause).min(REDIAL.1);
+        }
+        Some(failed)
+    }
+
     pub(crate) fn server_closed(&mut self, conn: ConnId) {
         self.drop_server_conn(conn, None);
     }
--- a/crates/lemoncleat-access/tests/common/mod.rs
+++ b/crates/lemoncleat-access/tests/common/mod.rs
@@ -168,6 +168,13 @@
         }
     }
 
+    /// Dials under way fail for want of something at the node.
+    pub fn lack_dials(&mut self) {
+        for (dial, _) in std::mem::take(&mut self.dials) {
+            self.input(Input::NotDialled(dial));
+        }
+    }
+
     fn new_conn(&mut self) -> ConnId {
         self.next += 1;
         ConnId(self.next)
--- a/crates/lemoncleat-access/tests/endings.rs
+++ b/crates/lemoncleat-access/tests/endings.rs
@@ -619,3 +619,37 @@
     assert_eq!(methods(&world.read(conn)), [Method::Bye]);
     assert!(world.stopped);
 }
+
+/// A node that has no descriptor left can dial nobody. That says nothing of the servers: their calls stand, and a set-up
+/// that waited for a connection has not run.
+#[test]
+fn dials_that_fail_for_want_of_descriptors_end_no_call_that_stands() {
+    let mut world = World::new();
+    let caller = world.caller();
+    let (server, _) = world.standing_call(caller, ID);
+    world.read(caller);
+    for server in [server_a(), server_b()] {
+        world.up.remove(&server);
+        for conn in world.to(server) {
+            world.close(conn);
+        }
+    }
+    world.bytes(caller, &invite(NEXT, "voice", LEGS));
+    for _ in 0..75 {
+        world.pass(100 * MS);
+        world.bytes(caller, &about(Method::Options, "00000000000000f0"));
+        world.lack_dials();
+    }
+    let told = world.read(caller);
+    assert!(!methods(&told).contains(&Method::Bye), "the call stands");
+    assert_eq!(
+        codes(&told).iter().filter(|code| **code != 200).collect::<Vec<_>>(),
+        [&503],
+        "refused, as never begun"
+    );
+    world.up.insert(server);
+    world.pass(2 * SECOND);
+    let conn = world.every.iter().rev().find(|(to, _)| *to == server).expect("it is dialled").1;
+    world.bytes(conn, &bye(ID, 16));
+    assert!(methods(&world.read(caller)).contains(&Method::Bye), "its release is heard");
+}
