Diameter front: a node that stops outlives the last bytes of connections that it closed

Read and then seen: the loop returned in the turn in which the core had stopped. Whatever `Net::close` had left to a task of its own, for a connection whose far side reads slowly, was dropped with the loop. A client with 1,000 answers to come, which read nothing until its connection had been closed after `timing.close`, got 70 of them.

Ruled out: the core. It asks for the close behind the last answer, and a `Close` promises that what was given before is written. The DPA of a client that reads comes behind all that it has read, so that nothing is lost there.

Changed: a connection that the stopping core closes while bytes wait for it stays open in the loop until they are written, and the loop ends when no such connection is left, at the latest 2 s after the core has stopped (the time that a closed connection has at any other moment too).

--- a/crates/lemoncleat-service/src/service.rs
+++ b/crates/lemoncleat-service/src/service.rs
@@ -31,6 +31,8 @@
 const SLICE: usize = 8 * 1024;
 /// How long reading what came during a gap may take.
 const CATCH_UP: Micros = 200_000;
+/// How long after the core has stopped connections that it closed may take to write what they still hold.
+const LAST_BYTES: Micros = 2_000_000;
 /// Tags of the listeners for peers and for operators.
 const PEERS: u64 = 0;
 const CONTROL: u64 = 1;
@@ -250,7 +252,9 @@
             gap,
             looked: 0,
             away: false,
-            stopped: false,
+            stopping: false,
+            stopped: None,
+            closing: Vec::new(),
             keeper: None,
             fleet: None,
             said: Vec::new(),
@@ -299,8 +303,12 @@
     looked: Micros,
     /// What came during a gap has not been read yet.
     away: bool,
-    /// The core has stopped.
-    stopped: bool,
+    /// The core was told to stop.
+    stopping: bool,
+    /// The core has stopped; when.
+    stopped: Option<Micros>,
+    /// Connections that the stopping core has closed, with bytes left to write. The loop outlives them.
+    closing: Vec<u64>,
     /// Keeps it in certificates, where they come by ACME.
     keeper: Option<Keeper>,
     /// Its part in a fleet.
@@ -398,9 +406,12 @@
                 Output::Dial(peer, address) => self.dial(peer, address),
                 Output::StopDial(peer) => self.net.stop_dial(u64::from(peer.0)),
                 Output::Send(conn, bytes) => self.net.send(conn.0, &bytes),
+                Output::Close(conn) if self.stopping && self.net.waiting(conn.0) > 0 => {
+                    self.closing.push(conn.0);
+                }
                 Output::Close(conn) => self.net.close(conn.0),
                 Output::Notice(notice) => log::emit(&self.host, &notice),
-                Output::Stopped => self.stopped = true,
+                Output::Stopped => self.stopped = Some(self.clock()),
                 Output::Linked(member) => self.part(|part, now, said| part.linked(now, member, true, said)),
                 Output::Unlinked(member) => {
                     self.part(|part, now, said| part.linked(now, member, false, said))
@@ -492,12 +503,18 @@
                 self.fleet_work();
                 self.write();
             }
-            if self.stopped {
+            if self.ended() {
                 return self.node.stats();
             }
         }
     }
 
+    /// Whether the core has stopped and what it gave for connections is written, or has had its time.
+    fn ended(&self) -> bool {
+        let late = |at: Micros| self.clock() > at + LAST_BYTES;
+        self.stopped.is_some_and(|at| self.closing.is_empty() || late(at))
+    }
+
     /// Handles an event and those that are there behind it, as far as what they lead to can wait. Tells whether
     /// those were all.
     async fn batch(&mut self, mut event: Option<Event<Control>>) -> bool {
@@ -546,6 +563,12 @@
             self.handle(Input::Wrote(ConnId(conn), count));
             self.perform();
         }
+        for conn in std::mem::take(&mut self.closing) {
+            match self.net.waiting(conn) {
+                0 => self.net.close(conn),
+                _ => self.closing.push(conn),
+            }
+        }
     }
 
     /// Bytes on the control port: each whole line is answered.
@@ -611,7 +634,10 @@
             Event::Message(Control::Stored(batch, result)) => {
                 self.part(|part, now, said| part.stored(now, batch, result, said));
             }
-            Event::Message(Control::Stop) => self.handle(Input::Stop),
+            Event::Message(Control::Stop) => {
+                self.stopping = true;
+                self.handle(Input::Stop);
+            }
             Event::Message(Control::Stats(answer)) => {
                 let _ = answer.send(self.node.stats());
             }
