--- a/crates/lemoncleat-diameter/src/peer.rs
+++ b/crates/lemoncleat-diameter/src/peer.rs
@@ -687,8 +687,8 @@
                 }
             }
             (d::CMD_CAPABILITIES, false) => {}
-            // While closing, answers to what is out still count. A peer that asked for the end asks for nothing
-            // new; what it wrote before it read this end's DPR is the application's to answer.
+            // While closing, answers to what is out still count. A peer that asked for the end asks for
+            // nothing new; what it wrote before it read this end's DPR is the application's to answer.
             (_, true) if self.state == State::Closing && !self.stopped => {}
             _ => out.push(PeerOutput::Deliver),
         }
--- a/crates/lemoncleat-node/src/node/calls.rs
+++ b/crates/lemoncleat-node/src/node/calls.rs
@@ -199,7 +199,8 @@
         }));
     }
 
-    /// A call's request came again on this connection, by whichever client: the call is that client's from now on.
+    /// A call's request came again on this connection, by whichever client: the call is that client's from
+    /// now on.
     pub(super) fn move_call(&mut self, id: u64, client: PeerId, conn: ConnId) {
         let Some(call) = self.calls.get_mut(&id) else { return };
         call.conn = conn;
@@ -272,8 +273,8 @@
     pub(super) fn send_call(&mut self, id: u64, server: ServerId, timeout: Micros) {
         let Some(call) = self.calls.get(&id) else { return };
         if self.peers[call.client.0 as usize].peer.connection().is_none() {
-            // Nobody waits for it here; what could tell better, its repeat, comes on a connection. The answer is
-            // kept for one, so that nothing of this call runs a second time beside what was given up.
+            // Nobody waits for it here; what could tell better, its repeat, comes on a connection. The answer
+            // is kept for one, so that nothing of this call runs a second time beside what was given up.
             self.stats.left += 1;
             let attempt = call.attempts;
             self.answer_failure(id, code::UNABLE_TO_DELIVER, "its client was away", 0);
@@ -426,8 +427,8 @@
         self.wheel.set(self.now + RELEASE_AGAIN, timer);
     }
 
-    /// Whether a later attempt of a call that was given up at a server is out or stands at that very server: it has
-    /// the same session, which a release of the earlier attempt would end.
+    /// Whether a later attempt of a call that was given up at a server is out or stands at that very server:
+    /// it has the same session, which a release of the earlier attempt would end.
     pub(super) fn is_at(&self, peer: PeerId, session: &str) -> bool {
         let call = self.sessions.get(session).and_then(|call| self.calls.get(call));
         call.is_some_and(|call| {
--- a/crates/lemoncleat-node/src/notice.rs
+++ b/crates/lemoncleat-node/src/notice.rs
@@ -43,7 +43,8 @@
     BadRequest(Arc<str>, u32, String),
     /// An answer belongs to no request.
     UnknownAnswer(Arc<str>, u32),
-    /// An answer to a set-up can't be read to its end, or is another call's; what it may stand for is released.
+    /// An answer to a set-up can't be read to its end, or is another call's; what it may stand for is
+    /// released.
     BadAnswer(Arc<str>, u32),
     /// A set-up that was given up succeeded late; it is released.
     LateAnswer(Arc<str>),
--- a/crates/lemoncleat-node/src/settings.rs
+++ b/crates/lemoncleat-node/src/settings.rs
@@ -25,8 +25,8 @@
     pub gap: Micros,
     /// How much earlier than the caller the node stops waiting, so that its answer arrives in time.
     pub answer_margin: Micros,
-    /// How long a client that lost its connection may take to come back before its calls are given up. Meanwhile
-    /// no attempt begins for them.
+    /// How long a client that lost its connection may take to come back before its calls are given up.
+    /// Meanwhile no attempt begins for them.
     pub client_return: Micros,
     /// How long a server that lost its connection may take to come back before its calls count as cut.
     pub server_return: Micros,
--- a/crates/lemoncleat-node/src/translate.rs
+++ b/crates/lemoncleat-node/src/translate.rs
@@ -23,8 +23,8 @@
     }
 }
 
-/// Whether an answer to a set-up can be read to its end and is the answer of the call of this session: what the node
-/// knows it by, the Hop-by-Hop Identifier, tells neither. A refusal may lack the session.
+/// Whether an answer to a set-up can be read to its end and is the answer of the call of this session: what
+/// the node knows it by, the Hop-by-Hop Identifier, tells neither. A refusal may lack the session.
 pub(crate) fn is_answer_for(answer: &MessageRef<'_>, session: &str) -> bool {
     answer.header.command == d::CMD_AA
         && answer.avps().all(|avp| avp.is_ok())
--- a/crates/lemoncleat-node/tests/endings.rs
+++ b/crates/lemoncleat-node/tests/endings.rs
@@ -237,8 +237,8 @@
     assert_eq!(bench.node.stats().standing, 1);
 }
 
-/// A call whose first attempt was given up, with the release unanswered, and whose second one is out at the same
-/// server, which answers watchdogs.
+/// A call whose first attempt was given up, with the release unanswered, and whose second one is out at the
+/// same server, which answers watchdogs.
 fn second_attempt() -> (Bench, ConnId, ConnId, Got) {
     let mut bench = Bench::new(settings());
     let server = bench.server("a.example");
--- a/crates/lemoncleat-service/tests/endings.rs
+++ b/crates/lemoncleat-service/tests/endings.rs
@@ -120,8 +120,9 @@
     format!("{{\"revision\":{revision},\"changes\":[{}]}}\n", entries.join(","))
 }
 
-/// A change that breaks off at its first, a middle and its last byte, a line that can't be read and a missed revision:
-/// each ends the connection, none is taken in part, and the complete list of the next connection is.
+/// A change that breaks off at its first, a middle and its last byte, a line that can't be read and a missed
+/// revision: each ends the connection, none is taken in part, and the complete list of the next connection
+/// is.
 #[test]
 fn a_change_that_breaks_off_or_can_not_be_read_is_not_taken_and_the_next_complete_list_is() {
     let feed = TcpListener::bind("127.0.0.1:0").expect("a port");
