Nodes take turns at a cold server by their numbers, and a turn lapses after fall_span

Cause: face() at fault with next_cold. A node that was not to send kept its leave for as long as it liked. While a cold server was jammed or unattractive, next_cold passed at every node; at the moment at which it looked good again all of them sent one set-up each.

Change: has_turn() derives the turn from the server's start, its place, this node's number and the rate that it judges, so that a restarted node needs no memory; a turn lapses after fall_span, and after half a round. COLD_USE stays at one half: turns and those kept together make no more than N where the rate is judged right. The field next_cold, cold_spacing and the jitter are gone, and so is Random::chance.

In rules.rs the nodes that stand in for a fleet now have numbers spread over it, as real ones do; all of them had number 0, and one number is one turn.

--- a/crates/lemoncleat/src/decide.rs
+++ b/crates/lemoncleat/src/decide.rs
@@ -42,9 +42,11 @@
 const HOLD: f64 = 0.65;
 /// Pause between two looks at waiting calls, in microseconds.
 const LOOK: Micros = 10_000;
-/// Share of what would push a cold server over that all nodes together send it at most; below that its
-/// answers say what it can take.
+/// Share of what would push a cold server over that all nodes' turns make; kept ones at most double it. Below
+/// that its answers say what it can take.
 const COLD_USE: f64 = 0.5;
+/// Where among the nodes the turns at a cold server begin, in rounds for each place: not all at one.
+const FURTHER: f64 = 0.618;
 /// Scores this near, in worths of the cheapest class, count as equal.
 const NEAR: f64 = 0.05;
 /// Set-ups a second that a warm server is taken to do at least, before this node has seen better: low, so
@@ -157,8 +159,6 @@
     /// What the log said of it last, and when.
     logged: Health,
     logged_at: Micros,
-    /// While cold: no send before this.
-    next_cold: Micros,
 }
 
 impl Server {
@@ -171,7 +171,6 @@
             answered_sent: now,
             next_line: now,
             logged_at: Micros::MIN,
-            next_cold: now,
             ..Server::default()
         }
     }
@@ -503,10 +502,8 @@
 
     fn member(&mut self, member: &Member) {
         let now = self.now;
-        let first = self.random.chance();
         let anew = member.started_at.is_some()
             && self.servers.get(&member.server).is_none_or(|server| server.started_at != member.started_at);
-        let spacing = if anew { self.cold_spacing(member.place, self.settings.cold_from) } else { 0.0 };
         let server = self.servers.entry(member.server).or_insert_with(|| Server::new(member, now));
         let ready = member.availability == Availability::Ready;
         if server.place != member.place || server.ready != ready && server.lines.is_some() {
@@ -525,7 +522,6 @@
             server.wait = 0.0;
             server.lost = 0;
             server.failed = Share::default();
-            server.next_cold = now + (first * spacing) as Micros;
         }
     }
 
@@ -567,10 +563,22 @@
         rates
     }
 
-    /// Pause between this node's sends to a cold server, so that all nodes keep within its means.
-    fn cold_spacing(&self, place: i64, warmth: f64) -> f64 {
-        f64::from(self.settings.balancers) * 1e6
-            / (self.warm_rate(place) * warmth * self.settings.fall_multiple * COLD_USE)
+    /// Whether it is this node's turn at a cold server. Turns come at a pace within the server's means and go
+    /// round by the nodes' numbers, counted from its start: no memory is needed, and no two nodes that judge
+    /// its rate alike share one. One lapses after `fall_span`, or all nodes would use the one that they kept
+    /// once the server looks good again, and after half a round: a node's sends lie apart.
+    fn has_turn(&self, server: &Server, warmth: f64) -> bool {
+        let (all, own) = (f64::from(self.settings.balancers), f64::from(self.settings.own_number));
+        let pace = self.warm_rate(server.place) / 1e6 * self.settings.fall_multiple * COLD_USE / all;
+        let (from, span) = (self.settings.cold_from.min(1.0), self.settings.cold_span as f64);
+        let rounds = |at| {
+            let age = (at - server.started_at.unwrap_or(at)).abs() as f64; // It may lie ahead of the clock.
+            let had = pace * age * (from + (1.0 - from) * (age / span).min(1.0) / 2.0);
+            had - (own / all + server.place as f64 * FURTHER).rem_euclid(1.0)
+        };
+        let (now, sent) = (rounds(self.now), rounds(server.last_sent).floor());
+        let kept = (pace * warmth * self.settings.fall_span as f64).min(0.5);
+        now >= 0.0 && sent != now.floor() && now - now.floor() <= kept
     }
 
     // ---- What answers tell ----
@@ -881,10 +889,8 @@
     fn send(&mut self, id: CallId, to: ServerId, actions: &mut Vec<Action>) {
         let now = self.now;
         let (nodes, pressed) = (f64::from(self.settings.balancers), self.pressed);
-        let jitter = 0.75 + 0.5 * self.random.chance();
         let Some(server) = self.servers.get(&to) else { return };
-        let (cold, unit) = (self.warmth(server), 1e6 / self.warm_rate(server.place));
-        let spacing = self.cold_spacing(server.place, cold) * jitter;
+        let unit = 1e6 / self.warm_rate(server.place);
         let Some(pending) = self.calls.get(&id) else { return };
         let rank = self.rank(pending);
         self.waiting.remove(&rank);
@@ -898,9 +904,6 @@
         server.own = OWN * (unit * nodes).min(pressed);
         server.wait += server.own;
         server.free = server.free.map(|free| free - pending.call.width);
-        if cold < 1.0 {
-            server.next_cold = now + spacing as Micros;
-        }
         pending.attempts += 1;
         pending.out = Some(Out { server: to, sent: now });
         // A node that stalls at the caller's deadline would miss it, so it asks for the outcome earlier, but
@@ -970,8 +973,8 @@
 
     fn face(&self, id: ServerId, server: &Server) -> Option<Face> {
         let now = self.now;
-        let cold = self.warmth(server) < 1.0;
-        if !server.ready || server.next_line > now || cold && server.next_cold > now {
+        let warmth = self.warmth(server);
+        if !server.ready || server.next_line > now || warmth < 1.0 && !self.has_turn(server, warmth) {
             return None;
         }
         // A silent server gets lone trial calls, of those that nothing better takes: silence must not keep
--- a/crates/lemoncleat/src/random.rs
+++ b/crates/lemoncleat/src/random.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-/// A sequence of numbers of its own for each seed.
+/// Numbers of its own for each seed.
 #[derive(Clone, Serialize, Deserialize)]
 pub(crate) struct Random(u64);
 
@@ -13,13 +13,7 @@
         Random(seed)
     }
 
-    /// The next number from 0 to 1.
-    pub(crate) fn chance(&mut self) -> f64 {
-        self.0 = self.0.wrapping_add(STEP);
-        self.draw(0)
-    }
-
-    /// A number from 0 to 1 that this seed, and no other, gives to `mark` until the next [`Random::chance`].
+    /// A number from 0 to 1 that this seed, and no other, gives to `mark`.
     pub(crate) fn draw(&self, mark: u64) -> f64 {
         let mut bits = self.0 ^ mark.wrapping_mul(STEP);
         bits = (bits ^ (bits >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
--- a/crates/lemoncleat/tests/rules.rs
+++ b/crates/lemoncleat/tests/rules.rs
@@ -311,10 +311,10 @@
 
 /// Rule 4 by share of traffic: a warm past with the answers or lines of `balancers` nodes, of which this one
 /// has its even share; then a new process at the same place, and as many calls as the node can get.
-fn cold_sends(balancers: u32, rate: f64, told: bool, seed: u64) -> (f64, f64) {
+fn cold_sends(balancers: u32, own_number: u32, rate: f64, told: bool, seed: u64) -> (f64, f64) {
     let base = settings();
     let classes = base.classes.iter().map(|class| Class { length: 8 * S, ..class.clone() }).collect();
-    let settings = Settings { classes, balancers, ..base };
+    let settings = Settings { classes, balancers, own_number, ..base };
     let mut controller = Controller::new(settings.clone(), seed).expect("usable settings");
     let (mut actions, mut now, mut id) = (Vec::new(), 50 * S, 0);
     let start = vec![member(0, Availability::Ready, None)];
@@ -366,12 +366,15 @@
 fn all_nodes_together_never_push_a_cold_server_over() {
     for (balancers, rate) in [(1, 40.0), (7, 40.0), (70, 40.0), (265, 40.0), (265, 90.0)] {
         for told in [true, false] {
-            // The fleet is the sum of its nodes: as many seeds stand in for them.
+            // The fleet is the sum of its nodes: as many seeds and numbers stand in for them.
             let nodes = balancers.min(60);
-            let all: f64 =
-                (0..nodes).map(|seed| cold_sends(balancers, rate, told, u64::from(seed) + 1).0).sum();
+            let one = |node| {
+                let own_number = node * balancers / nodes;
+                cold_sends(balancers, own_number, rate, told, u64::from(node) + 1)
+            };
+            let all: f64 = (0..nodes).map(|node| one(node).0).sum();
             let fleet = all * f64::from(balancers) / f64::from(nodes);
-            let limit = cold_sends(balancers, rate, told, 1).1;
+            let limit = one(0).1;
             assert!(
                 fleet <= limit,
                 "{fleet} set-ups a second of {limit} by {balancers} nodes, lines told: {told}"
--- a/crates/lemoncleat/tests/world/mod.rs
+++ b/crates/lemoncleat/tests/world/mod.rs
@@ -112,7 +112,8 @@
 impl Day {
     /// A day of this form with everything else drawn from the seed.
     pub fn draw(nodes: u32, trouble: Trouble, lines: bool, seed: u64) -> Day {
-        let mut draw = Draw::new(seed);
+        let form = u64::from(nodes) << 8 | (trouble as u64) << 1 | u64::from(lines);
+        let mut draw = Draw::new(seed << 32 | form);
         let (cold_from, cold_span, fall_span) =
             draw.pick(&[(0.3, 12 * S, S), (0.3, 12 * S, 2 * S), (0.15, 20 * S, 250 * MS)]);
         // Large servers are few, and in overload fewer still: budgets there are large, days long to play.
