Connections: an end is told first, answers outlive closes, accepts are bounded

Read in the sockets of the loop: (1) a caller's end came to the core only in its place in the queue, behind bytes that had waited and behind timers (the reader's `sender.send(Raw::Closed)`, and a timer that fires is polled before the readers that the same look at the sockets woke). (2) `Raw::Closed` dropped the connection with what was given for it and not yet written, although a caller that ended only its half still reads. (3) `close` shut both halves down and dropped the socket; with input unread the system then sends a reset and throws away what the far side has not taken. Closes that lingered were not bounded, only those of `hang_up`. (4) The accept task took connections for as long as the queue had room: 256 descriptors that no budget counts, and a pause of 50 ms for a connection that had only left (ECONNABORTED).

Ruled out: an accept or dial without descriptors spins (accept pauses and keeps its listener, a dial is told as failed at once); pieces that a reader holds back are missed by `has_input` (they are counted before they wait for room).

The reader publishes an end as soon as it reads it, and the loop looks once more when a piece is given (one peek a piece). The loop takes these ends before each event and each timer, as `Input::Leaving`. Readers woken by the look that fired a timer have their turn before it. After `Event::Closed` the connection can be written to until the next event, and is then written out. Every close that has something waiting or unread ends its own half, goes on writing, and reads and drops for two seconds at most; all of these share one bound. At most 16 accepted connections of a node wait for its loop, the others stay in the listen queue.

--- a/crates/lemoncleat-net/src/lib.rs
+++ b/crates/lemoncleat-net/src/lib.rs
@@ -18,6 +18,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -89,7 +90,8 @@
 
 /// What the tasks tell the loop.
 enum Raw<M> {
-    Accepted(u64, Async<TcpStream>),
+    /// With the places of those who wait for the loop, one of which is free again once it is taken.
+    Accepted(u64, Async<TcpStream>, Receiver<()>),
     Dialled(u64, u64, io::Result<Async<TcpStream>>),
     /// And since when they have waited, at the earliest.
     Bytes(u64, Vec<u8>, Instant),
@@ -149,6 +151,10 @@
     dirty: bool,
     /// Pieces that were read and wait in the loop's queue.
     queued: Rc<Cell<usize>>,
+    /// Its end was seen: it stands, or stood, among [`Net::ended`].
+    ended: Rc<Cell<bool>>,
+    /// It came to a listener.
+    accepted: bool,
     _reader: Task<()>,
     tls: Option<Box<Session>>,
     /// Bytes given for it that are in `waiting`, before encryption.
@@ -178,13 +184,16 @@
     pub queue: usize,
     /// Bytes read at once; all connections share one buffer of this size.
     pub read: usize,
-    /// Connections being hung up on at once; further ones are closed without waiting.
+    /// Connections that linger at once, to write what waits and to read and drop what comes, after the loop gave
+    /// them up; further ones are closed without waiting.
     pub hung_up: usize,
+    /// Accepted connections of one listener that may wait for the loop; all others stay in the listen queue.
+    pub accepted: usize,
 }
 
 impl Default for Bounds {
     fn default() -> Self {
-        Bounds { queue: QUEUE, read: READ, hung_up: 256 }
+        Bounds { queue: QUEUE, read: READ, hung_up: 256, accepted: 64 }
     }
 }
 
@@ -193,8 +202,12 @@
     bounds: Bounds,
     /// What all readers read into.
     buffer: Rc<RefCell<Vec<u8>>>,
-    /// Connections being hung up on.
-    hung_up: Rc<Cell<usize>>,
+    /// Connections that the loop gave up and that still write, or read and drop.
+    lingering: Vec<Task<()>>,
+    /// Connections whose far side was seen to end and that the loop was not told of yet.
+    ended: Rc<RefCell<Vec<u64>>>,
+    /// A connection whose [`Event::Closed`] was given last: until the next event it may still be written to.
+    closed: Option<u64>,
     executor: Rc<LocalExecutor<'static>>,
     sender: Sender<Raw<M>>,
     events: Receiver<Raw<M>>,
@@ -236,7 +249,9 @@
         Net {
             bounds,
             buffer: Rc::new(RefCell::new(vec![0; bounds.read])),
-            hung_up: Rc::new(Cell::new(0)),
+            lingering: Vec::new(),
+            ended: Rc::default(),
+            closed: None,
             executor,
             sender,
             events,
@@ -274,20 +289,27 @@
     pub fn listen(&mut self, listener: TcpListener, tag: u64) -> io::Result<()> {
         let listener = Async::new(listener)?;
         let sender = self.sender.clone();
+        let (place, places) = async_channel::bounded(self.bounds.accepted.max(1));
         self.spawn(async move {
-            loop {
-                match listener.accept().await {
-                    Ok((stream, _)) => {
-                        if sender.send(Raw::Accepted(tag, stream)).await.is_err() {
-                            return;
+            // Whom the loop has not taken holds a descriptor that nobody counts.
+            while place.send(()).await.is_ok() {
+                let stream = loop {
+                    match listener.accept().await {
+                        Ok((stream, _)) => break stream,
+                        // That one left while it waited.
+                        Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {
+                            future::yield_now().await;
+                        }
+                        Err(_) => {
+                            Timer::after(ACCEPT_PAUSE).await;
                         }
-                        // A crowd that waits must not keep the readers from their turn.
-                        future::yield_now().await;
-                    }
-                    Err(_) => {
-                        Timer::after(ACCEPT_PAUSE).await;
                     }
+                };
+                if sender.send(Raw::Accepted(tag, stream, places.clone())).await.is_err() {
+                    return;
                 }
+                // A crowd that waits must not keep the readers from their turn.
+                future::yield_now().await;
             }
         });
         Ok(())
@@ -358,7 +380,7 @@
         self.dial_tls.remove(&tag);
     }
 
-    fn add(&mut self, stream: Async<TcpStream>, tls: Option<Session>) -> u64 {
+    fn add(&mut self, stream: Async<TcpStream>, tls: Option<Session>, accepted: bool) -> u64 {
         let id = self.next;
         self.next += 1;
         let _ = stream.get_ref().set_nodelay(true);
@@ -367,6 +389,8 @@
         let buffer = self.buffer.clone();
         let queued = Rc::new(Cell::new(0));
         let (count, at_work) = (queued.clone(), self.at_work.clone());
+        let (ended, all_ended) = (Rc::new(Cell::new(false)), self.ended.clone());
+        let seen = ended.clone();
         let reader = self.executor.spawn(async move {
             let mut held_up = Duration::ZERO;
             loop {
@@ -386,6 +410,10 @@
                     _ => Raw::Closed(id),
                 };
                 let last = matches!(raw, Raw::Closed(_));
+                if last && !seen.replace(true) {
+                    // What it sent before may wait long for the loop.
+                    all_ended.borrow_mut().push(id);
+                }
                 count.set(count.get() + usize::from(!last));
                 if sender.send(raw).await.is_err() || last {
                     return;
@@ -399,6 +427,8 @@
             blocked: None,
             dirty: false,
             queued,
+            ended,
+            accepted,
             _reader: reader,
             tls: tls.map(Box::new),
             plain: 0,
@@ -485,81 +515,142 @@
         }
         self.write(conn);
         self.handshakes.remove(&conn);
-        let Some(state) = self.conns.remove(&conn) else { return };
-        if state.waiting.is_empty() {
+        let Some(state) = self.forget(conn) else { return };
+        // Closing with input unread resets, and a reset can overtake what the other side has not got yet.
+        let unread = matches!(state.stream.get_ref().peek(&mut [0]), Ok(count) if count > 0);
+        if state.waiting.is_empty() && !unread {
             let _ = state.stream.get_ref().shutdown(Shutdown::Both);
             return;
         }
-        let (stream, waiting) = (state.stream, state.waiting);
-        self.executor
-            .spawn(async move {
-                let write = async {
-                    let mut done = 0;
-                    while done < waiting.len() {
-                        match stream.write_with(|mut socket| socket.write(&waiting[done..])).await {
-                            Ok(count) if count > 0 => done += count,
-                            _ => return,
-                        }
-                    }
-                };
-                let late = async {
-                    Timer::after(LINGER).await;
-                };
-                write.or(late).await;
-                let _ = stream.get_ref().shutdown(Shutdown::Both);
-            })
-            .detach();
+        self.linger(state);
     }
 
     /// Closes a connection so that what was given for it is read, although the other side may go on sending:
     /// writes, ends the own half, and reads and drops what comes for a bounded while. It is not heard of again.
     pub fn hang_up(&mut self, conn: u64) {
-        if self.hung_up.get() >= self.bounds.hung_up || self.conns.get(&conn).is_none_or(|c| c.tls.is_some())
-        {
+        if self.conns.get(&conn).is_none_or(|state| state.tls.is_some()) {
             return self.close(conn);
         }
         self.write(conn);
-        let Some(state) = self.conns.remove(&conn) else { return };
+        if let Some(state) = self.forget(conn) {
+            self.linger(state);
+        }
+    }
+
+    /// Lets a connection write and drop for a bounded while, if not too many do already.
+    fn linger(&mut self, state: Conn) {
+        self.lingering.retain(|task| !task.is_finished());
+        if self.lingering.len() >= self.bounds.hung_up {
+            let _ = state.stream.get_ref().shutdown(Shutdown::Both);
+            return;
+        }
+        let task = self.leave(state, LINGER, LINGER);
+        self.lingering.push(task);
+    }
+
+    /// Writes what waits for a connection for at most the first time and ends the own half; reads and drops what
+    /// comes meanwhile, and for at most the second time after it, until the other side ends its half too.
+    fn leave(&self, state: Conn, write: Duration, drop: Duration) -> Task<()> {
         let (stream, waiting) = (state.stream, state.waiting);
-        let (buffer, count) = (self.buffer.clone(), self.hung_up.clone());
-        count.set(count.get() + 1);
-        self.executor
-            .spawn(async move {
-                let end = async {
-                    let mut done = 0;
-                    while done < waiting.len() {
-                        match stream.write_with(|mut socket| socket.write(&waiting[done..])).await {
-                            Ok(count) if count > 0 => done += count,
-                            _ => return,
-                        }
+        let buffer = self.buffer.clone();
+        self.executor.spawn(async move {
+            let written = async {
+                let mut done = 0;
+                while done < waiting.len() {
+                    match stream.write_with(|mut socket| socket.write(&waiting[done..])).await {
+                        Ok(count) if count > 0 => done += count,
+                        _ => return,
                     }
-                    let _ = stream.get_ref().shutdown(Shutdown::Write);
-                    let mut dropped = 0;
-                    while dropped < DRAIN {
-                        match stream.read_with(|mut socket| socket.read(&mut buffer.borrow_mut())).await {
-                            Ok(count) if count > 0 => dropped += count,
-                            _ => return,
-                        }
-                        // Whoever sends at full speed must not keep the others from their turn.
-                        future::yield_now().await;
+                }
+            };
+            let read = async {
+                let mut dropped = 0;
+                while dropped < DRAIN {
+                    match stream.read_with(|mut socket| socket.read(&mut buffer.borrow_mut())).await {
+                        Ok(count) if count > 0 => dropped += count,
+                        _ => return,
                     }
-                };
-                let late = async {
-                    Timer::after(LINGER).await;
-                };
-                end.or(late).await;
-                count.set(count.get() - 1);
-            })
-            .detach();
+                    // Whoever sends at full speed must not keep the others from their turn.
+                    future::yield_now().await;
+                }
+            };
+            let mut read = pin!(read);
+            // The other side's end is no reason to stop writing: it may still read.
+            let over = Cell::new(false);
+            let beside = async {
+                read.as_mut().await;
+                over.set(true);
+                future::pending().await
+            };
+            written.or(after(write)).or(beside).await;
+            let _ = stream.get_ref().shutdown(Shutdown::Write);
+            if !over.get() {
+                read.or(after(drop)).await;
+            }
+        })
     }
 
     /// Closes a connection at once with a reset, as a process that was killed would.
     pub fn abort(&mut self, conn: u64) {
-        if let Some(state) = self.conns.remove(&conn) {
+        if let Some(state) = self.forget(conn) {
             let _ = state.stream.get_ref().shutdown(Shutdown::Both);
         }
     }
 
+    /// A connection is no longer the loop's.
+    fn forget(&mut self, conn: u64) -> Option<Conn> {
+        let state = self.conns.remove(&conn)?;
+        if state.ended.get() {
+            self.ended.borrow_mut().retain(|ended| *ended != conn);
+        }
+        Some(state)
+    }
+
+    /// The connection of which [`Event::Closed`] was given last: its other side may have ended only its own half,
+    /// and still read what was given for it since.
+    fn forget_closed(&mut self) {
+        let Some(conn) = self.closed.take() else { return };
+        self.write(conn);
+        if let Some(state) = self.forget(conn) {
+            if !state.waiting.is_empty() {
+                self.linger(state);
+            }
+        }
+    }
+
+    /// Connections whose other side was seen to end its half, or that broke, since the last time this was asked:
+    /// each once, before its [`Event::Closed`]. Bytes that it sent before may still come. Whoever asks does so
+    /// before each event and each timer, so that nothing is begun for whom the system knows to have left.
+    pub fn take_ended(&mut self) -> Vec<u64> {
+        std::mem::take(&mut *self.ended.borrow_mut())
+    }
+
+    /// Ends all connections, in order: what was given for them is written for at most the first time and the own
+    /// half ended; of those that were accepted, what comes is read and dropped meanwhile, and for at most the second
+    /// time after it, until the other side ends its half too. A reset that overtakes what was written is thereby
+    /// kept from whoever reads. Nothing is listened to, dialled or told of any more.
+    pub async fn end(&mut self, write: Duration, drop: Duration) {
+        self.listeners.clear();
+        self.dials.clear();
+        for state in self.conns.values_mut() {
+            if let Some(tls) = &mut state.tls {
+                tls.close(&mut state.waiting);
+            }
+        }
+        self.flush();
+        let states: Vec<Conn> = self.conns.drain().map(|(_, state)| state).collect();
+        for state in states {
+            if state.accepted || !state.waiting.is_empty() {
+                let drop = if state.accepted { drop } else { Duration::ZERO };
+                let task = self.leave(state, write, drop);
+                self.lingering.push(task);
+            }
+        }
+        for task in std::mem::take(&mut self.lingering) {
+            task.await;
+        }
+    }
+
     /// Whether bytes wait on a connection that the loop was not given yet.
     pub fn has_input(&self, conn: u64) -> bool {
         let Some(state) = self.conns.get(&conn) else { return false };
@@ -572,7 +663,7 @@
     }
 
     fn handshake(&mut self, stream: Async<TcpStream>, session: Session, origin: Origin, time: Duration) {
-        let conn = self.add(stream, Some(session));
+        let conn = self.add(stream, Some(session), matches!(origin, Origin::Accepted(_)));
         self.handshakes.insert(conn, origin);
         let sender = self.sender.clone();
         self.executor
@@ -640,10 +731,12 @@
     }
 
     fn event(&mut self, raw: Raw<M>) -> Option<Event<M>> {
+        self.forget_closed();
         Some(match raw {
-            Raw::Accepted(tag, stream) => {
+            Raw::Accepted(tag, stream, places) => {
+                let _ = places.try_recv();
                 let Some(tls) = self.listener_tls.get(&tag) else {
-                    return Some(Event::Accepted { tag, conn: self.add(stream, None) });
+                    return Some(Event::Accepted { tag, conn: self.add(stream, None, true) });
                 };
                 if self.handshakes.len() >= tls.most {
                     return None;
@@ -666,7 +759,7 @@
                 match result {
                     Ok(stream) => {
                         let Some((name, config, time)) = self.dial_tls.remove(&tag) else {
-                            return Some(Event::Dialled { tag, conn: self.add(stream, None) });
+                            return Some(Event::Dialled { tag, conn: self.add(stream, None, false) });
                         };
                         let Ok(session) = Session::client(config, name) else {
                             return Some(Event::DialFailed { tag, refused: false });
@@ -684,6 +777,11 @@
                 self.since = since;
                 let state = self.conns.get(&conn)?;
                 state.queued.set(state.queued.get().saturating_sub(1));
+                // Its end may have come while this piece waited.
+                if !state.ended.get() && has_ended(state.stream.get_ref()) {
+                    state.ended.set(true);
+                    self.ended.borrow_mut().push(conn);
+                }
                 if state.tls.is_some() {
                     return self.decrypt(conn, &bytes);
                 }
@@ -693,7 +791,8 @@
                 if self.handshakes.contains_key(&conn) {
                     return self.handshake_failed(conn);
                 }
-                self.conns.remove(&conn)?;
+                self.conns.get(&conn)?;
+                self.closed = Some(conn);
                 Event::Closed { conn }
             }
             Raw::Writable(conn) => {
@@ -715,6 +814,7 @@
 
     /// The next event; `None` when the moment has come first, or when only writing went on.
     pub async fn next(&mut self, until: Option<Instant>) -> Option<Event<M>> {
+        self.forget_closed();
         if let Some(event) = self.ready.pop_front() {
             return Some(event);
         }
@@ -726,14 +826,18 @@
         }
         let raw = match until {
             _ if behind => {
-                // A loop that is behind must not keep its own readers from their turn.
+                // A loop that is behind must not keep its own readers from their turn: a turn for those that are
+                // due, and one for those that the look at the sockets between the two finds due.
+                future::yield_now().await;
                 future::yield_now().await;
                 self.events.try_recv().ok()
             }
             Some(until) => {
                 let timer = async {
                     Timer::at(until).await;
-                    None
+                    // Readers that the same look at the sockets found due come first.
+                    future::yield_now().await;
+                    self.events.try_recv().ok()
                 };
                 async { self.events.recv().await.ok() }.or(timer).await
             }
@@ -766,6 +870,7 @@
 
     /// An event that is there already.
     pub fn try_next(&mut self) -> Option<Event<M>> {
+        self.forget_closed();
         if let Some(event) = self.ready.pop_front() {
             return Some(event);
         }
@@ -777,3 +882,15 @@
         None
     }
 }
+
+/// Whether the other side has ended its half and nothing lies unread before that, or the connection broke.
+fn has_ended(socket: &TcpStream) -> bool {
+    match socket.peek(&mut [0]) {
+        Ok(count) => count == 0,
+        Err(error) => !matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted),
+    }
+}
+
+async fn after(time: Duration) {
+    Timer::after(time).await;
+}
--- a/crates/lemoncleat-service/src/access.rs
+++ b/crates/lemoncleat-service/src/access.rs
@@ -17,7 +17,7 @@
 const BATCH: usize = 64;
 const BATCH_TIME: Duration = Duration::from_millis(2);
 /// What the loop may hold: the memory of a whole node may be 32 MB.
-const BOUNDS: Bounds = Bounds { queue: 256, read: 16 * 1024, hung_up: 32 };
+const BOUNDS: Bounds = Bounds { queue: 256, read: 16 * 1024, hung_up: 32, accepted: 16 };
 /// Connections that may wait to be accepted.
 const BACKLOG: i32 = 1_024;
 /// Bytes that may wait to be written to a connection whose other side does not read.
@@ -167,6 +167,7 @@
             if let Some(event) = event {
                 self.event(event);
             }
+            self.leaving();
             self.handle(Input::Timeout);
             self.perform();
             self.net.flush();
@@ -177,7 +178,15 @@
         }
     }
 
+    /// Tells the core whose far side has ended its half, before anything else is begun.
+    fn leaving(&mut self) {
+        for conn in self.net.take_ended() {
+            self.handle(Input::Leaving(ConnId(conn)));
+        }
+    }
+
     fn event(&mut self, event: Event<AccessControl>) {
+        self.leaving();
         match event {
             Event::Accepted { conn, .. } => self.handle(Input::Accepted(ConnId(conn))),
             Event::Dialled { tag, conn } => self.handle(Input::Dialled(DialId(tag), ConnId(conn))),
