A turn at a cold server lasts a look at least, where settings name no time in which it falls

Read: `has_turn` lets a turn lapse after `fall_span`; settings that give a cold span and no fall span (0, the default) would have left cold servers without a set-up until they were warm. A turn lasts LOOK at least. The page of rule versions said that no decision hangs on a node's number; now the turns do, as chance hangs on the seed, and the version stays without it.

Measured: the tests of lemoncleat and lemoncleat-consistency pass; no test has settings of that kind.

--- a/crates/lemoncleat-consistency/src/version.rs
+++ b/crates/lemoncleat-consistency/src/version.rs
@@ -77,7 +77,8 @@
         Digest(*hasher.finalize().as_bytes())
     }
 
-    /// The digest of the settings alone. `own_number` is left out: it names the node, and no decision hangs on it.
+    /// The digest of the settings alone. `own_number` is left out: it names the node, and is an
+    /// input of its decisions (its turns at cold servers) as its seed is; generated cases are played under number 0.
     pub fn settings_digest(&self) -> Digest {
         // Taken apart by name, so that a new field can't be forgotten here.
         let Settings {
--- a/crates/lemoncleat/src/decide.rs
+++ b/crates/lemoncleat/src/decide.rs
@@ -577,7 +577,7 @@
             had - (own / all + server.place as f64 * FURTHER).rem_euclid(1.0)
         };
         let (now, sent) = (rounds(self.now), rounds(server.last_sent).floor());
-        let kept = (pace * warmth * self.settings.fall_span as f64).min(0.5);
+        let kept = (pace * warmth * self.settings.fall_span.max(LOOK) as f64).min(0.5);
         now >= 0.0 && sent != now.floor() && now - now.floor() <= kept
     }
 
