Access: the test of a lower limit of descriptors waits for each of its crowd

Seen: on a busy machine the_limit_of_the_process_holds_where_it_is_below_the_told_one failed once with its mend in place. Its crowd wrote without waiting for answers, so some connections were not quiet as room was needed, which is what a_paying_caller_gets_through_a_crowd_that_is_never_quiet shows and another fault.

Change: each of the crowd waits for its answer, for as long as a caller does, before the next one speaks.

--- a/crates/lemoncleat-cli/tests/access_common/mod.rs
+++ b/crates/lemoncleat-cli/tests/access_common/mod.rs
@@ -68,6 +68,12 @@
         self.next().and_then(|message| message.code())
     }
 
+    /// The same where the connection may be closed for room.
+    pub fn try_options(&mut self) -> Option<u16> {
+        self.try_send(&about(Method::Options, "00000000000000aa"));
+        self.next().and_then(|message| message.code())
+    }
+
     /// Reads the answer to a set-up, and its release if it stood. Releases of other calls may come again on any
     /// connection from callers; answers may not.
     pub fn whole_call(&mut self, id: &str) -> u16 {
--- a/crates/lemoncleat-cli/tests/access_limits.rs
+++ b/crates/lemoncleat-cli/tests/access_limits.rs
@@ -58,14 +58,19 @@
     let mut node = Node::run(command(&file, Some(80)), file);
     assert_eq!(asked.recv_timeout(LONG).as_deref(), Ok("tail 1"));
     let _hand = server.serve_from_now_on();
-    let mut crowd: Vec<_> = (0..100).map(|_| node.caller()).collect();
+    // Each waits for as long as a caller does, and shows that it was read.
+    let patient = || {
+        let caller = node.caller();
+        caller.stream.set_read_timeout(Some(Duration::from_millis(8_000))).expect("as long as it waits");
+        caller
+    };
+    let mut crowd: Vec<_> = (0..100).map(|_| patient()).collect();
     for wire in &mut crowd {
-        wire.send(&about(Method::Options, &id(0xaa)));
+        assert!(matches!(wire.try_options(), Some(200) | None));
     }
     for call in 0..3 {
-        let mut caller = node.caller();
+        let mut caller = patient();
         caller.send(&invite(&id(call)));
-        caller.stream.set_read_timeout(Some(Duration::from_millis(8_000))).expect("as long as it waits");
         assert_eq!(caller.whole_call(&id(call)), 200);
     }
     node.signal(Signal::TERM);
