Access node: what came as it said that all is done is answered, and last bytes written

Read in the loop: it returned as soon as the core said `Stopped`. What still waited for a caller that reads slowly, what lay unread in sockets, in the loop's queue and in the listen queue was dropped, and sockets closed with input unread were reset, which can overtake a last answer. `Net::flush` before the return writes only what the sockets take at once.

Ruled out: a later timer of the core for these; after `Stopped` nothing runs any more.

At `Stopped` the loop looks at all sockets and the listener afresh, gives the core what came, and ends only at a `Stopped` with nothing new, at the latest with the first one that comes a second after the first. Then the listener is closed, what waits is written for two seconds at most, each half of ours is ended, and callers have half a second to close theirs while what they send is read and dropped.

In the tests the far side acts from within the loop's thread where the core tells its last figures, so the order is the same each time. With the loop returning at the first `Stopped`, set_ups_whose_last_byte_comes_as_the_node_is_done_are_answered failed (a set-up cut at each of its bytes in turn, the rest written in the last instant, and 20 new connections); with no writing after the loop answers_to_a_caller_that_reads_late_are_written_before_the_node_ends failed (2,246 of 3,000 answers).

--- a/crates/lemoncleat-service/src/access.rs
+++ b/crates/lemoncleat-service/src/access.rs
@@ -22,6 +22,11 @@
 const BACKLOG: i32 = 1_024;
 /// Bytes that may wait to be written to a connection whose other side does not read.
 const WAITING: usize = 256 * 1024;
+/// How long a node that is done goes on for what still comes, at most.
+const LAST_LOOKS: Duration = Duration::from_secs(1);
+/// How long last answers may take to be written, and how long callers may take after that to close.
+const LAST_BYTES: Duration = Duration::from_secs(2);
+const LAST_CLOSES: Duration = Duration::from_millis(500);
 /// The longest datagram that is read; longer ones than a note are no note.
 const DATAGRAM: usize = 512;
 /// A configuration that is being replaced is read again after this, so often.
@@ -150,9 +155,22 @@
     async fn run(mut self) -> Stats {
         self.perform();
         self.net.flush();
+        // When the core said first that all is done.
+        let mut done: Option<Instant> = None;
         loop {
-            let wake = self.node.wake().map(|at| self.start + Duration::from_micros(at.max(0) as u64));
-            let mut event = self.net.next(wake).await;
+            let mut event = if std::mem::take(&mut self.stopped) {
+                // All that was taken in is answered. What came since has been taken by the system, and is owed the
+                // same.
+                self.net.look().await;
+                let event = self.net.ready().await;
+                if event.is_none() || done.get_or_insert_with(Instant::now).elapsed() > LAST_LOOKS {
+                    break;
+                }
+                event
+            } else {
+                let wake = self.node.wake().map(|at| self.start + Duration::from_micros(at.max(0) as u64));
+                self.net.next(wake).await
+            };
             let until = Instant::now() + BATCH_TIME;
             for _ in 0..BATCH {
                 match event.take() {
@@ -171,11 +189,9 @@
             self.handle(Input::Timeout);
             self.perform();
             self.net.flush();
-            if self.stopped {
-                // What was given for a connection has been written or is being written.
-                return self.node.stats();
-            }
         }
+        self.net.end(LAST_BYTES, LAST_CLOSES).await;
+        self.node.stats()
     }
 
     /// Tells the core whose far side has ended its half, before anything else is begun.
