Access node: what comes of an output is carried out in the same turn, behind the others

Read in `perform`: outputs were taken out before they were gone through, so what the core asked for on a `Closed` or `NotQuiet` that came of one of them (CANCELs of a caller cut off for its unread answers) stayed until the next input, at the end of a turn up to the next timer. The order is unchanged: it comes behind all that was asked for before. Read only, no test: it would have to tell one turn from the next.

The bound on what waits for a connection was held against bytes that had never been offered to the socket, as writing comes at the end of a turn: a caller that asks much at once and reads could be cut off. It is offered first now.

The task that reads notes went on at once after a failed read, and took datagrams for as long as the queue had room. It gives the others their turn after each.

--- a/crates/lemoncleat-service/src/access.rs
+++ b/crates/lemoncleat-service/src/access.rs
@@ -1,5 +1,6 @@
 //! The event loop around the core of an access node on the operators' platform.
 
+use std::collections::VecDeque;
 use std::io;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
@@ -7,6 +8,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use async_io::{Async, Timer};
+use futures_lite::future;
 use lemoncleat_access::{AccessNode, ConnId, DialId, Input, Level, Micros, Notice, Output, Stats};
 use lemoncleat_net::{run_bounded, Bounds, Event, Mailbox, Net};
 use lemoncleat_platform::NodeConfig;
@@ -122,11 +124,14 @@
         let mut buffer = [0; DATAGRAM];
         loop {
             // A failed read is that of an earlier datagram of ours which nobody took.
-            let Ok((count, from)) = reading.recv_from(&mut buffer).await else { continue };
-            let note = AccessControl::Datagram(from, buffer[..count].to_vec());
-            if mailbox.send(note).await.is_err() {
-                return;
+            if let Ok((count, from)) = reading.recv_from(&mut buffer).await {
+                let note = AccessControl::Datagram(from, buffer[..count].to_vec());
+                if mailbox.send(note).await.is_err() {
+                    return;
+                }
             }
+            // A flood of datagrams must not keep the callers from their turn.
+            future::yield_now().await;
         }
     });
     Ok(socket)
@@ -226,7 +231,11 @@
 
     /// Carries out what the core asked for.
     fn perform(&mut self) {
-        for output in std::mem::take(&mut self.outputs) {
+        // What comes of one is carried out behind all that was asked for before.
+        let mut outputs = VecDeque::new();
+        loop {
+            outputs.extend(self.outputs.drain(..));
+            let Some(output) = outputs.pop_front() else { return };
             match output {
                 Output::Dial(dial, address, timeout) => {
                     self.net.dial(address, dial.0, Duration::from_micros(timeout.max(0) as u64));
@@ -234,6 +243,10 @@
                 Output::StopDial(dial) => self.net.stop_dial(dial.0),
                 Output::Send(conn, bytes) => {
                     self.net.send(conn.0, &bytes);
+                    if self.net.waiting(conn.0) > WAITING {
+                        // The other side may have room for more than was offered to it so far.
+                        self.net.flush();
+                    }
                     if self.net.waiting(conn.0) > WAITING {
                         self.net.abort(conn.0);
                         self.handle(Input::Closed(conn));
