Room is made without an accept, a reload tells once, and dials that fail here are told so by the sockets

Seen with the program as a process (tests/access_limits.rs, access_endings.rs): - A crowd whose connections always have something unread kept the table of callers above its size; at EMFILE nobody is accepted any more, and room was looked for at an accept only (callers.rs), so a paying caller got nothing in 8 s. Each look at connections makes room now. - An unusable configuration was told of ten times for one SIGHUP, once a look (reload in service/access.rs), and each further SIGHUP began a task of its own. One task looks, and tells what is new. - With standard output and error closed the first line of the log ended the process (log.rs).

Ruled out: a spin at EMFILE (2 to 3 ticks of processor time in 3 s, idle and crowded alike).

--- a/crates/lemoncleat-access/src/callers.rs
+++ b/crates/lemoncleat-access/src/callers.rs
@@ -349,6 +349,11 @@
             };
             close.retain(|(conn, why)| *why != IDLE || !held.contains(conn) || long(conn));
         }
+        // Where descriptors ran out nobody is accepted, and room has to be made here.
+        for _ in 0..self.callers.conns.len().saturating_sub(self.callers.most) {
+            let Some(least) = self.callers.least() else { break };
+            self.close_if_quiet(least, "room was needed");
+        }
         for (conn, why) in close {
             // What a node short of processor time has not read yet may be a set-up, or the rest of one. A
             // message that comes byte by byte does not hold its connection by that.
--- a/crates/lemoncleat-net/src/lib.rs
+++ b/crates/lemoncleat-net/src/lib.rs
@@ -71,6 +71,8 @@
         tag: u64,
         /// The machine answered that nobody listens there.
         refused: bool,
+        /// It was for want of something here, as of descriptors or ports: the other side was not asked.
+        local: bool,
     },
     /// Bytes came.
     Bytes {
@@ -690,7 +692,7 @@
         self.close(conn);
         match origin {
             Origin::Accepted(_) => None,
-            Origin::Dialled(tag) => Some(Event::DialFailed { tag, refused: false }),
+            Origin::Dialled(tag) => Some(Event::DialFailed { tag, refused: false, local: false }),
         }
     }
 
@@ -762,14 +764,14 @@
                             return Some(Event::Dialled { tag, conn: self.add(stream, None, false) });
                         };
                         let Ok(session) = Session::client(config, name) else {
-                            return Some(Event::DialFailed { tag, refused: false });
+                            return Some(Event::DialFailed { tag, refused: false, local: false });
                         };
                         self.handshake(stream, session, Origin::Dialled(tag), time);
                         return None;
                     }
                     Err(error) => {
                         let refused = error.kind() == io::ErrorKind::ConnectionRefused;
-                        Event::DialFailed { tag, refused }
+                        Event::DialFailed { tag, refused, local: is_local(&error) }
                     }
                 }
             }
@@ -883,6 +885,13 @@
     }
 }
 
+/// Whether a dial failed for want of something on this side.
+fn is_local(error: &io::Error) -> bool {
+    use rustix::io::Errno;
+    let wants = [Errno::MFILE, Errno::NFILE, Errno::ADDRNOTAVAIL, Errno::NOBUFS, Errno::NOMEM];
+    error.raw_os_error().is_some_and(|code| wants.iter().any(|want| want.raw_os_error() == code))
+}
+
 /// Whether the other side has ended its half and nothing lies unread before that, or the connection broke.
 fn has_ended(socket: &TcpStream) -> bool {
     match socket.peek(&mut [0]) {
--- a/crates/lemoncleat-platform/src/json.rs
+++ b/crates/lemoncleat-platform/src/json.rs
@@ -7,7 +7,8 @@
     let mut json = serde_json::Deserializer::from_str(text);
     let value = serde_path_to_error::deserialize(&mut json).map_err(|error| {
         let path = error.path().to_string();
-        if path == "." {
+        // A text that breaks off has no place in it either.
+        if matches!(path.as_str(), "." | "?") {
             error.inner().to_string()
         } else {
             format!("{path}: {}", error.inner())
--- a/crates/lemoncleat-service/src/access.rs
+++ b/crates/lemoncleat-service/src/access.rs
@@ -1,5 +1,6 @@
 //! The event loop around the core of an access node on the operators' platform.
 
+use std::cell::Cell;
 use std::collections::VecDeque;
 use std::io;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
@@ -88,8 +89,16 @@
             None => None,
         };
         ready(net.sender());
-        let service =
-            Access { node, net, start, notes, file: settings.file, outputs: Vec::new(), stopped: false };
+        let service = Access {
+            node,
+            net,
+            start,
+            notes,
+            file: settings.file,
+            outputs: Vec::new(),
+            stopped: false,
+            looks: Rc::default(),
+        };
         Ok(service.run().await)
     })
 }
@@ -145,6 +154,8 @@
     file: PathBuf,
     outputs: Vec<Output>,
     stopped: bool,
+    /// Looks still to be taken at a configuration that is to be read anew.
+    looks: Rc<Cell<u32>>,
 }
 
 impl Access {
@@ -211,7 +222,8 @@
         match event {
             Event::Accepted { conn, .. } => self.handle(Input::Accepted(ConnId(conn))),
             Event::Dialled { tag, conn } => self.handle(Input::Dialled(DialId(tag), ConnId(conn))),
-            Event::DialFailed { tag, refused } => {
+            Event::DialFailed { tag, local: true, .. } => self.handle(Input::NotDialled(DialId(tag))),
+            Event::DialFailed { tag, refused, .. } => {
                 self.handle(Input::DialFailed { dial: DialId(tag), refused });
             }
             Event::Bytes { conn, bytes } => {
@@ -276,11 +288,17 @@
     /// Reads the configuration anew. One that is being replaced is read again a little later; until one can be
     /// used, what is in force stays so.
     fn reload(&mut self) {
-        let (file, mailbox) = (self.file.clone(), self.net.sender());
+        if self.looks.replace(REREAD.1) > 0 {
+            // What is being read again is looked at for this wish too.
+            return;
+        }
+        let (file, mailbox, looks) = (self.file.clone(), self.net.sender(), self.looks.clone());
         self.net.spawn(async move {
-            for _ in 0..REREAD.1 {
+            let mut told = String::new();
+            while looks.get() > 0 {
                 match read_access_config(&file) {
                     Ok(config) => {
+                        looks.set(0);
                         tracing::info!("configuration read again");
                         if let Some(address) = config.journal {
                             // Once the loop has ended there is nobody to tell.
@@ -288,9 +306,14 @@
                         }
                         return;
                     }
-                    Err(why) => tracing::warn!(%why, "the configuration in force stays so"),
+                    Err(why) if why == told => {}
+                    Err(why) => {
+                        tracing::warn!(%why, "the configuration in force stays so");
+                        told = why;
+                    }
                 }
                 Timer::after(REREAD.0).await;
+                looks.set(looks.get() - 1);
             }
         });
     }
--- a/crates/lemoncleat-service/src/log.rs
+++ b/crates/lemoncleat-service/src/log.rs
@@ -37,7 +37,11 @@
         LogTo::Error => Box::new(std::io::stderr()) as Box<dyn std::io::Write>,
         LogTo::Output => Box::new(std::io::stdout()),
     };
-    let builder = tracing_subscriber::fmt().with_env_filter(filter).with_writer(writer).with_target(false);
+    let builder = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_writer(writer)
+        .with_target(false)
+        .log_internal_errors(false);
     let done = match format {
         LogFormat::Text => builder.try_init(),
         LogFormat::Json => builder.json().flatten_event(true).try_init(),
--- a/crates/lemoncleat-simulate/src/simulation.rs
+++ b/crates/lemoncleat-simulate/src/simulation.rs
@@ -512,7 +512,7 @@
                 let at = self.now + self.delay();
                 match node {
                     Some(node) => self.push(at, To::WorldDial(node, tag, dial)),
-                    None => self.push(at, To::World(Event::DialFailed { tag, refused: true })),
+                    None => self.push(at, To::World(Event::DialFailed { tag, refused: true, local: false })),
                 }
             }
             Command::StopDial(tag) => drop(self.world_dials.remove(&tag)),
