--- a/crates/lemoncleat/tests/module.rs
+++ b/crates/lemoncleat/tests/module.rs
@@ -316,6 +316,20 @@
     assert!(burst <= 1, "{burst} sends at once");
 }
 
+#[test]
+fn a_send_before_a_restart_takes_no_turn_after_it() {
+    // The first turn at this place comes 0.14 s to 0.25 s after a start, as the one node judges it. The send
+    // lies as long before it.
+    let mut node = Node::new(settings(), 0);
+    node.change(1, Availability::Ready, None);
+    assert_eq!(sent(&node.call(1, 1, 1)), Some(1));
+    node.started(1, 0, 1, 10 * MS);
+    node.pass(200 * MS);
+    node.change(1, Availability::Ready, Some(node.now));
+    node.pass(200 * MS);
+    assert_eq!(sent(&node.call(2, 1, 1)), Some(1));
+}
+
 #[test]
 fn no_line_free_sends_elsewhere() {
     let mut node = Node::new(settings(), 2);
