A set-up that waits unwritten for a server that does not read is taken back

An INVITE that lay in the driver behind what a server did not read went out once that read, or as the connection was closed, also when its caller had left or the attempt had been given up.

The core names an attempt's INVITE (`Output::Invite`) and says when the attempt is over (`Output::Withdraw`, with the CANCEL where one is owed); the driver takes the INVITE out of what waits if nothing of it has begun to leave, else it writes the CANCEL as before. `Net::send_revocable` and `Net::take_back` keep where such bytes lie. A connection is closed only after its set-ups were taken back. Where servers read, the same bytes go out.

Seven ways in which an attempt ends are played with servers that read and that don't; without the mend the test fails at the first ([Invite, Cancel] written).

--- a/crates/lemoncleat-access/examples/cost.rs
+++ b/crates/lemoncleat-access/examples/cost.rs
@@ -64,7 +64,7 @@
                     }
                     self.input(Input::Dialled(dial, conn));
                 }
-                Output::Send(conn, bytes) if bytes.starts_with(b"INVITE") => self.asked.push((conn, bytes)),
+                Output::Invite(conn, _, bytes) => self.asked.push((conn, bytes)),
                 _ => {}
             }
         }
--- a/crates/lemoncleat-access/src/calls.rs
+++ b/crates/lemoncleat-access/src/calls.rs
@@ -4,7 +4,7 @@
 use lemoncleat_core::{Deadline, Micros, TimerKey};
 use lemoncleat_sip::{request, response, Message, Method};
 
-use crate::interface::{ConnId, DialId};
+use crate::interface::{ConnId, DialId, Output};
 use crate::invite::{self, Invite};
 use crate::node::{AccessNode, Timer};
 use crate::notice::Notice;
@@ -348,7 +348,7 @@
         let trace = call.id.clone();
         self.servers.opened(conn, id, now);
         self.stats.attempts += 1;
-        self.send(conn, bytes);
+        self.out.push(Output::Invite(conn, id, bytes));
         self.trace(&trace, || {
             let after = waited as f64 / 1e3;
             format!("attempt {number} to server {} for {wait} ms, {after:.1} ms after the choice", server.0)
@@ -360,6 +360,10 @@
         let attempt = self.calls.get_mut(&id)?.attempt.take()?;
         self.wheel.cancel(attempt.timer);
         self.servers.unopened(attempt.carrier, id);
+        if let Carrier::Conn(conn) = attempt.carrier {
+            // However it ended: what still waits for a server that does not read is not to begin.
+            self.out.push(Output::Withdraw(conn, id, Vec::new()));
+        }
         Some(attempt)
     }
 
@@ -391,7 +395,7 @@
             let bytes =
                 dialog(Method::Cancel, &self.name, &call.id, &call.called, attempt.number + 1).finish(b"");
             let (text, called) = (call.id.clone(), call.called.clone());
-            self.send(conn, bytes);
+            self.out.push(Output::Withdraw(conn, id, bytes));
             let now = self.now;
             self.releases.abandon(now, id, attempt.server);
             if self.servers.doubt(conn, attempt.sent, now) {
--- a/crates/lemoncleat-access/src/interface.rs
+++ b/crates/lemoncleat-access/src/interface.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use lemoncleat::CallId;
 use lemoncleat_core::Micros;
 
 use crate::notice::Notice;
@@ -74,6 +75,11 @@
     StopDial(DialId),
     /// Write bytes.
     Send(ConnId, Vec<u8>),
+    /// Write the INVITE of a call's attempt. For as long as none of it has begun to leave, it can be taken back.
+    Invite(ConnId, CallId, Vec<u8>),
+    /// The attempt of a call on a connection is over: if nothing of its INVITE has begun to leave, that never goes
+    /// out. Else write these bytes, the CANCEL; there are none where none is owed.
+    Withdraw(ConnId, CallId, Vec<u8>),
     /// Close once what was given is written.
     Close(ConnId),
     /// Close at once, unless bytes wait there to be read; then say [`Input::NotQuiet`], before the next
--- a/crates/lemoncleat-access/src/servers.rs
+++ b/crates/lemoncleat-access/src/servers.rs
@@ -601,7 +601,6 @@
         }
         if let Some(why) = why {
             self.servers.forsake(conn, &gone, false);
-            self.out.push(Output::Close(conn));
             let server = self.servers.name(id);
             self.notice(Notice::ServerConn { server, why, open: gone.open.len() });
         }
@@ -614,6 +613,10 @@
             }
             self.end_attempt(call, Outcome::Reset, Reason::None, Report::default());
         }
+        if why.is_some() {
+            // What waits is still written before a close: the set-ups among it have been taken back.
+            self.out.push(Output::Close(conn));
+        }
         self.mind_server(id);
         self.refresh(id);
     }
--- a/crates/lemoncleat-access/tests/common/mod.rs
+++ b/crates/lemoncleat-access/tests/common/mod.rs
@@ -48,6 +48,10 @@
     /// What the node wrote and nobody looked at, by connection.
     written: BTreeMap<ConnId, Vec<u8>>,
     pub closed: BTreeSet<ConnId>,
+    /// Connections whose other side does not read: of what the node writes there nothing leaves.
+    pub stalled: BTreeSet<ConnId>,
+    /// INVITEs that wait there, by connection and call.
+    unwritten: BTreeMap<(ConnId, u64), Vec<u8>>,
     /// Connections on which bytes wait that the node has not been given.
     pub unread: BTreeSet<ConnId>,
     pub notices: Vec<Notice>,
@@ -104,6 +108,8 @@
             every: Vec::new(),
             written: BTreeMap::new(),
             closed: BTreeSet::new(),
+            stalled: BTreeSet::new(),
+            unwritten: BTreeMap::new(),
             unread: BTreeSet::new(),
             notices: Vec::new(),
             told: Vec::new(),
@@ -127,6 +133,25 @@
                     }
                     self.written.entry(conn).or_default().extend(bytes);
                 }
+                Output::Invite(conn, call, bytes) => {
+                    assert!(!self.closed.contains(&conn), "written to a closed connection");
+                    self.written.entry(conn).or_default().extend(&bytes);
+                    if self.stalled.contains(&conn) {
+                        self.unwritten.insert((conn, call.0), bytes);
+                    }
+                }
+                Output::Withdraw(conn, call, otherwise) => {
+                    let waits = self.unwritten.remove(&(conn, call.0));
+                    if let Some(invite) = waits.filter(|_| self.stalled.contains(&conn)) {
+                        let all = self.written.entry(conn).or_default();
+                        let at = all.windows(invite.len()).rposition(|part| part == invite);
+                        let at = at.expect("it waits there");
+                        all.drain(at..at + invite.len());
+                    } else if !otherwise.is_empty() {
+                        assert!(!self.closed.contains(&conn), "written to a closed connection");
+                        self.written.entry(conn).or_default().extend(otherwise);
+                    }
+                }
                 Output::CloseIfQuiet(conn) if self.unread.contains(&conn) => {
                     self.input(Input::NotQuiet(conn))
                 }
@@ -213,6 +238,11 @@
         messages(&self.written.remove(&conn).unwrap_or_default())
     }
 
+    /// Whether something was written to a connection since the last look.
+    pub fn has_written(&self, conn: ConnId) -> bool {
+        self.written.get(&conn).is_some_and(|bytes| !bytes.is_empty())
+    }
+
     pub fn raw(&mut self, conn: ConnId) -> Vec<u8> {
         self.written.remove(&conn).unwrap_or_default()
     }
--- a/crates/lemoncleat-access/tests/withdrawals.rs
+++ b/crates/lemoncleat-access/tests/withdrawals.rs
@@ -370,3 +370,48 @@
         assert_eq!((open, module.calls, module.waiting), (0, 0, 0), "seed {seed}");
     }
 }
+
+/// A server that does not read, and ways in which an attempt there ends before its INVITE has begun to leave.
+/// Where the server reads, the same leads to a CANCEL.
+#[test]
+fn a_set_up_that_waits_for_a_server_that_does_not_read_is_taken_back_when_its_attempt_ends() {
+    type End = fn(&mut World, lemoncleat_access::ConnId, lemoncleat_access::ConnId);
+    let ends: [(&str, End); 7] = [
+        ("CANCEL", |world, caller, _| world.bytes(caller, &about(Method::Cancel, ID))),
+        ("BYE", |world, caller, _| world.bytes(caller, &bye(ID, 16))),
+        ("close", |world, caller, _| world.close(caller)),
+        ("leaving", |world, caller, _| world.input(lemoncleat_access::Input::Leaving(caller))),
+        ("the attempt's time is over", |world, _, _| world.pass(1_600 * MS)),
+        ("what the server sends can't be read", |world, _, to| world.bytes(to, b"\0\r\n\r\n")),
+        ("the server's release", |world, _, to| world.bytes(to, &bye(ID, 41))),
+    ];
+    for (how, end) in ends {
+        for reads in [false, true] {
+            let mut world = World::new();
+            let caller = world.caller();
+            // Both servers, as the module may choose either.
+            let all = [world.to(server_a()), world.to(server_b())].concat();
+            if !reads {
+                world.stalled.extend(&all);
+                world.up.clear();
+            }
+            world.bytes(caller, &invite(ID, "voice", LEGS));
+            let to = *all.iter().find(|conn| world.has_written(**conn)).expect("an attempt");
+            end(&mut world, caller, to);
+            // Until its caller's time is over; further attempts meet the same.
+            world.pass(3 * SECOND);
+            let servers: Vec<_> = world.every.iter().filter(|(at, _)| *at != journal()).copied().collect();
+            let written = servers.into_iter().flat_map(|(_, conn)| methods(&world.read(conn)));
+            let written: Vec<_> = written.collect();
+            let count = |method| written.iter().filter(|sent| **sent == method).count();
+            if reads {
+                assert!(count(Method::Invite) > 0, "{how}");
+                let cancelled = !how.contains("server");
+                assert!(!cancelled || count(Method::Cancel) > 0, "{how}: {written:?}");
+            } else {
+                assert_eq!(count(Method::Cancel), 0, "{how}: {written:?}");
+                assert_eq!(count(Method::Invite), 0, "{how}: {written:?}");
+            }
+        }
+    }
+}
--- a/crates/lemoncleat-net/src/lib.rs
+++ b/crates/lemoncleat-net/src/lib.rs
@@ -161,6 +161,15 @@
     tls: Option<Box<Session>>,
     /// Bytes given for it that are in `waiting`, before encryption.
     plain: usize,
+    /// Parts of `waiting` that may be taken back, in their order.
+    revocable: VecDeque<Revocable>,
+}
+
+/// Bytes that wait and may be taken back, because none of them has begun to leave.
+struct Revocable {
+    name: u64,
+    start: usize,
+    len: usize,
 }
 
 /// What a TLS connection is, until its handshake is done.
@@ -434,6 +443,7 @@
             _reader: reader,
             tls: tls.map(Box::new),
             plain: 0,
+            revocable: VecDeque::new(),
         };
         self.conns.insert(id, conn);
         id
@@ -454,6 +464,29 @@
         }
     }
 
+    /// The same with bytes that [`Net::take_back`] may take back under a name, for as long as none of them has
+    /// begun to leave. Not on TLS connections: there a record can't be left out.
+    pub fn send_revocable(&mut self, conn: u64, name: u64, bytes: &[u8]) {
+        if let Some(state) = self.conns.get_mut(&conn).filter(|state| state.tls.is_none()) {
+            state.revocable.push_back(Revocable { name, start: state.waiting.len(), len: bytes.len() });
+        }
+        self.send(conn, bytes);
+    }
+
+    /// Takes the last bytes back that were given to a connection under a name. False, and nothing is changed, if
+    /// there are none or some of them have left.
+    pub fn take_back(&mut self, conn: u64, name: u64) -> bool {
+        let Some(state) = self.conns.get_mut(&conn) else { return false };
+        let Some(at) = state.revocable.iter().rposition(|part| part.name == name) else { return false };
+        let Some(gone) = state.revocable.remove(at) else { return false };
+        state.waiting.drain(gone.start..gone.start + gone.len);
+        state.plain -= gone.len;
+        for later in state.revocable.range_mut(at..) {
+            later.start -= gone.len;
+        }
+        true
+    }
+
     /// Writes what was given since the last time, as far as the sockets take it. Returns how many bytes of
     /// which connection were written, now or since.
     pub fn flush(&mut self) -> Vec<(u64, usize)> {
@@ -489,6 +522,11 @@
             }
         };
         conn.waiting.drain(..done);
+        conn.revocable.retain_mut(|part| {
+            let waits = part.start >= done;
+            part.start = part.start.saturating_sub(done);
+            waits
+        });
         if conn.waiting.is_empty() && conn.waiting.capacity() > READ {
             conn.waiting = Vec::new();
         }
--- a/crates/lemoncleat-net/tests/ends.rs
+++ b/crates/lemoncleat-net/tests/ends.rs
@@ -274,3 +274,55 @@
     });
     drop(far);
 }
+
+/// What has not begun to leave is taken back alone; what has begun goes out whole.
+#[test]
+fn what_waits_for_a_far_side_that_does_not_read_can_be_taken_back() {
+    let (listener, address) = listener();
+    let mut far = far(address);
+    run_bounded(SMALL, async |mut net: Net<()>| {
+        net.listen(listener, 0).expect("it listens");
+        let conn = accepted(&mut net).await;
+        let first = vec![b'1'; 16 << 20];
+        net.send_revocable(conn, 1, &first);
+        net.flush();
+        let waiting = net.waiting(conn);
+        assert!(waiting > 0 && waiting < first.len(), "the system took {} bytes", first.len() - waiting);
+        assert!(!net.take_back(conn, 1), "some of it has left");
+        for (name, byte) in [(2, b'2'), (3, b'3'), (4, b'4'), (3, b'5')] {
+            net.send_revocable(conn, name, &[byte; 10]);
+        }
+        net.send(conn, b"between");
+        net.send_revocable(conn, 6, b"666");
+        assert!(net.take_back(conn, 3), "the last of the name");
+        assert!(net.take_back(conn, 2) && !net.take_back(conn, 2), "once");
+        assert!(!net.take_back(conn, 7) && !net.take_back(conn + 1, 4), "never given");
+        net.flush();
+        assert!(net.take_back(conn, 6), "behind what moved up");
+        let reader = thread::spawn(move || all(&mut far));
+        net.end(LONG, LONG).await;
+        let read = reader.join().expect("it reads").expect("an end in order");
+        assert_eq!(read.len(), first.len() + 27);
+        assert!(read.starts_with(&first));
+        assert_eq!(&read[first.len()..], b"33333333334444444444between");
+    });
+}
+
+#[test]
+fn what_the_system_has_taken_can_not_be_taken_back() {
+    let (listener, address) = listener();
+    let mut far = far(address);
+    run_bounded(SMALL, async |mut net: Net<()>| {
+        net.listen(listener, 0).expect("it listens");
+        let conn = accepted(&mut net).await;
+        net.send_revocable(conn, 1, b"gone");
+        net.send_revocable(conn, 2, b"taken back before it was offered");
+        assert!(net.take_back(conn, 2));
+        net.flush();
+        assert!(!net.take_back(conn, 1));
+        net.send_revocable(conn, 1, b", and more");
+        far.shutdown(Shutdown::Write).expect("a socket");
+        net.end(LONG, LONG).await;
+    });
+    assert_eq!(all(&mut far).expect("an end in order"), b"gone, and more");
+}
--- a/crates/lemoncleat-service/src/access.rs
+++ b/crates/lemoncleat-service/src/access.rs
@@ -255,13 +255,16 @@
                 Output::StopDial(dial) => self.net.stop_dial(dial.0),
                 Output::Send(conn, bytes) => {
                     self.net.send(conn.0, &bytes);
-                    if self.net.waiting(conn.0) > WAITING {
-                        // The other side may have room for more than was offered to it so far.
-                        self.net.flush();
-                    }
-                    if self.net.waiting(conn.0) > WAITING {
-                        self.net.abort(conn.0);
-                        self.handle(Input::Closed(conn));
+                    self.bound_waiting(conn);
+                }
+                Output::Invite(conn, call, bytes) => {
+                    self.net.send_revocable(conn.0, call.0, &bytes);
+                    self.bound_waiting(conn);
+                }
+                Output::Withdraw(conn, call, otherwise) => {
+                    if !self.net.take_back(conn.0, call.0) && !otherwise.is_empty() {
+                        self.net.send(conn.0, &otherwise);
+                        self.bound_waiting(conn);
                     }
                 }
                 Output::Close(conn) => self.net.close(conn.0),
@@ -285,6 +288,18 @@
         }
     }
 
+    /// A connection whose other side does not read is given up once too much waits there.
+    fn bound_waiting(&mut self, conn: ConnId) {
+        if self.net.waiting(conn.0) > WAITING {
+            // The other side may have room for more than was offered to it so far.
+            self.net.flush();
+        }
+        if self.net.waiting(conn.0) > WAITING {
+            self.net.abort(conn.0);
+            self.handle(Input::Closed(conn));
+        }
+    }
+
     /// Reads the configuration anew. One that is being replaced is read again a little later; until one can be
     /// used, what is in force stays so.
     fn reload(&mut self) {
