Late answers are released however many attempts were given up

With 4,096 attempts given up within 20 s, further ones were not remembered. A late 200 to one of them was taken for nobody's: it got neither ACK nor BYE, and the call stood at its server, released by nobody, until that ended it.

The table's room now follows the node's memory (16,384 attempts at 48 MB, 5,461 at 16 MB, never fewer than 4,096). Where it is full those go first whose server has sent a final answer since, mostly the 487 to the CANCEL, of those alike the oldest.

--- a/crates/lemoncleat-access/src/node.rs
+++ b/crates/lemoncleat-access/src/node.rs
@@ -15,7 +15,7 @@
 use crate::notice::Notice;
 use crate::releases::Releases;
 use crate::servers::Servers;
-use crate::timing::SWEEP;
+use crate::timing::{RELEASES, SWEEP};
 
 /// What comes due.
 #[derive(Clone, Copy, Debug)]
@@ -46,6 +46,10 @@
 /// What a call that stands takes at most.
 const MEMORY_OF_STANDING: usize = 512;
 
+/// What a given-up attempt is counted as, so that all that are remembered take a part of that share only: one takes
+/// some 200 bytes.
+const MEMORY_OF_ABANDONED: usize = 512;
+
 /// An access node.
 pub struct AccessNode {
     pub(crate) name: String,
@@ -120,7 +124,7 @@
             callers: Callers::new(sockets),
             calls: BTreeMap::new(),
             standing: BTreeMap::new(),
-            releases: Releases::default(),
+            releases: Releases::new((memory / MEMORY_OF_ABANDONED).max(RELEASES)),
             servers,
             journal: Journal::new(config.journal, config.known_to),
             notes,
--- a/crates/lemoncleat-access/src/releases.rs
+++ b/crates/lemoncleat-access/src/releases.rs
@@ -36,11 +36,79 @@
     /// Set-ups that their callers withdrew, for INVITEs that are read later than that: on another connection
     /// the CANCEL may come first.
     withdrawn: BTreeMap<CallId, Micros>,
-    /// Attempts that were given up, for answers that come late.
-    abandoned: BTreeMap<(CallId, ServerId), Micros>,
+    abandoned: Abandoned,
+}
+
+/// Attempts that were given up, for answers that come late. One that is forgotten here too soon stands at its server
+/// until that ends it, so the room is a share of the node's memory, and where it is used up those go first that have
+/// had their answer, of those alike the oldest.
+#[derive(Default)]
+struct Abandoned {
+    most: usize,
+    all: BTreeMap<(CallId, ServerId), Given>,
+    /// The same in the order in which they go: whether an answer may still come, and a number that grows with time.
+    order: BTreeMap<(bool, u64), (CallId, ServerId)>,
+    next: u64,
+}
+
+/// What is known of the given-up attempts of a call at one server.
+struct Given {
+    at: Micros,
+    /// How many of them have had no final answer.
+    open: u32,
+    number: u64,
+}
+
+impl Abandoned {
+    fn add(&mut self, now: Micros, key: (CallId, ServerId)) {
+        let open = self.remove(key).map_or(0, |given| given.open).saturating_add(1);
+        while self.all.len() >= self.most {
+            let Some((_, first)) = self.order.pop_first() else { break };
+            self.all.remove(&first);
+        }
+        let number = self.next;
+        self.next += 1;
+        self.all.insert(key, Given { at: now, open, number });
+        self.order.insert((true, number), key);
+    }
+
+    fn remove(&mut self, key: (CallId, ServerId)) -> Option<Given> {
+        let given = self.all.remove(&key)?;
+        self.order.remove(&(given.open > 0, given.number));
+        Some(given)
+    }
+
+    /// A final answer came to one of them. True if it is known.
+    fn answered(&mut self, key: (CallId, ServerId)) -> bool {
+        let Some(given) = self.all.get_mut(&key) else { return false };
+        if given.open == 1 {
+            self.order.remove(&(true, given.number));
+            self.order.insert((false, given.number), key);
+        }
+        given.open = given.open.saturating_sub(1);
+        true
+    }
+
+    fn forget_older(&mut self, than: Micros) {
+        for open in [false, true] {
+            while let Some((&place, &key)) = self.order.range((open, 0)..=(open, u64::MAX)).next() {
+                if self.all.get(&key).is_some_and(|given| given.at > than) {
+                    break;
+                }
+                self.order.remove(&place);
+                self.all.remove(&key);
+            }
+        }
+    }
 }
 
 impl Releases {
+    /// Empty tables, with room for that many given-up attempts.
+    pub(crate) fn new(most_abandoned: usize) -> Self {
+        let abandoned = Abandoned { most: most_abandoned, ..Abandoned::default() };
+        Releases { abandoned, ..Releases::default() }
+    }
+
     pub(crate) fn len(&self) -> usize {
         self.open.len()
     }
@@ -100,15 +168,18 @@
         self.open.remove(&id).is_some()
     }
 
-    /// Remembers an attempt that was given up, while there is room.
+    /// Remembers an attempt that was given up.
     pub(crate) fn abandon(&mut self, now: Micros, id: CallId, server: ServerId) {
-        if self.abandoned.len() < RELEASES {
-            self.abandoned.insert((id, server), now);
-        }
+        self.abandoned.add(now, (id, server));
     }
 
     pub(crate) fn was_abandoned(&self, id: CallId, server: ServerId) -> bool {
-        self.abandoned.contains_key(&(id, server))
+        self.abandoned.all.contains_key(&(id, server))
+    }
+
+    /// A final answer came that nobody waits for. True if it is one to an attempt that was given up.
+    pub(crate) fn abandoned_answered(&mut self, id: CallId, server: ServerId) -> bool {
+        self.abandoned.answered((id, server))
     }
 }
 
@@ -191,7 +262,7 @@
         let crossing = self.longest_deadline.min(UNKNOWN_KEPT);
         self.releases.over.retain(|_, (at, _)| now - *at < crossing);
         self.releases.withdrawn.retain(|_, at| now - *at < crossing);
-        self.releases.abandoned.retain(|_, at| now - *at < UNKNOWN_KEPT);
+        self.releases.abandoned.forget_older(now - UNKNOWN_KEPT);
         let again = self.releases.open.iter().filter(|(_, release)| {
             release.tried.len() < RELEASE_TRIES && release.sent.is_some_and(|at| now - at > RELEASE_AGAIN)
         });
@@ -203,3 +274,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/lemoncleat-access/src/servers.rs
+++ b/crates/lemoncleat-access/src/servers.rs
@@ -836,7 +836,7 @@
 
     /// An answer that nobody waits for: a second copy, or one to an attempt that was given up.
     fn late_answer(&mut self, conn: ConnId, server: ServerId, id: CallId, code: u16, message: &Message) {
-        if !self.releases.was_abandoned(id, server) {
+        if !self.releases.abandoned_answered(id, server) {
             return self.trace_id(id, &format!("{code} of server {} is nobody's", server.0));
         }
         self.acknowledge(conn, message);
