A late answer beside a further attempt is released once that attempt fails

A 200 to an attempt that was over, while a further attempt of the call was out at the same server, got its ACK and nothing else. If the further attempt was then refused, given up or lost, the call of the first stood at the server with nobody to release it.

Servers tell calls by their id alone, so a BYE at once could end the further attempt, though the connection tells the two answers apart. The call now remembers where such an answer came and releases it when the further attempt ends without an answer, before the module chooses anew. If that is answered nothing is sent: its own release names the same id. Should the module choose the same server a third time at once, that INVITE goes out behind the BYE, yet on another connection, so a server may read them in the other order.

Six ways in which the further attempt ends are played; without the mend the first fails (no BYE).

--- a/crates/lemoncleat-access/src/calls.rs
+++ b/crates/lemoncleat-access/src/calls.rs
@@ -26,6 +26,10 @@
     pub(crate) attempts: u32,
     /// Connections on which one was given up without an answer.
     pub(crate) spent: Vec<ConnId>,
+    /// Earlier attempts that were answered with a call after they were given up, while a further one was out at the
+    /// same server: where, and on which connection. They are released once that one has failed, for a release
+    /// before would be taken for its.
+    pub(crate) superseded: Vec<(ServerId, ConnId)>,
 }
 
 /// An attempt that is out.
@@ -128,6 +132,7 @@
             attempt: None,
             attempts: 0,
             spent: Vec::new(),
+            superseded: Vec::new(),
         };
         self.trace(&call.id, || {
             let (class, patience, place) = (invite.class, invite.patience / 1000, invite.destination);
@@ -381,11 +386,24 @@
             reason,
             report,
         });
+        self.release_superseded(id, attempt.server);
         if let Carrier::Conn(conn) = attempt.carrier {
             self.mind_server_conn(conn);
         }
     }
 
+    /// The attempt that was out at a server came to nothing: what stands there of earlier ones is released, before
+    /// anything further is begun.
+    fn release_superseded(&mut self, id: CallId, server: ServerId) {
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        let stand: Vec<_> = call.superseded.extract_if(.., |(at, _)| *at == server).collect();
+        let (text, called) = (call.id.clone(), call.called.clone());
+        for (_, conn) in stand {
+            self.trace_id(id, "an earlier attempt was answered after it was given up: released");
+            self.release_at_server(server, &text, &called, 16, Some(conn));
+        }
+    }
+
     /// Gives the attempt that is out up, on the wire too.
     fn give_up(&mut self, id: CallId) -> Option<Attempt> {
         let attempt = self.calls.get(&id)?.attempt?;
@@ -422,6 +440,7 @@
             reason: Reason::None,
             report: Report::default(),
         });
+        self.release_superseded(id, attempt.server);
         if let Carrier::Conn(conn) = attempt.carrier {
             self.mind_server_conn(conn);
         }
--- a/crates/lemoncleat-access/src/servers.rs
+++ b/crates/lemoncleat-access/src/servers.rs
@@ -840,14 +840,25 @@
             return self.trace_id(id, &format!("{code} of server {} is nobody's", server.0));
         }
         self.acknowledge(conn, message);
-        let out_there =
-            self.calls.get(&id).and_then(|call| call.attempt).is_some_and(|out| out.server == server);
-        let stands_there = self.standing.get(&id).is_some_and(|standing| standing.server == server);
-        if (200..300).contains(&code) && !out_there && !stands_there {
-            self.trace_id(id, "answered after it was given up: released");
-            if let Some((text, _)) = invite::id(message) {
-                self.write_release(conn, text, "late", 16);
+        if !(200..300).contains(&code) {
+            return;
+        }
+        let further = self.calls.get_mut(&id);
+        let further = further.filter(|call| call.attempt.is_some_and(|out| out.server == server));
+        if let Some(call) = further {
+            // Servers tell calls by their id alone: a release now could end the further attempt.
+            if !call.superseded.contains(&(server, conn)) {
+                call.superseded.push((server, conn));
             }
+            return self
+                .trace_id(id, "answered after it was given up: released if the further attempt fails");
+        }
+        if self.standing.get(&id).is_some_and(|standing| standing.server == server) {
+            return;
+        }
+        self.trace_id(id, "answered after it was given up: released");
+        if let Some((text, _)) = invite::id(message) {
+            self.write_release(conn, text, "late", 16);
         }
     }
 
--- a/crates/lemoncleat-access/tests/answers.rs
+++ b/crates/lemoncleat-access/tests/answers.rs
@@ -510,3 +510,57 @@
     world.bytes(conn.expect("its turn"), &bye(&id, 16));
     assert_eq!(methods(&world.read(caller)), [lemoncleat_sip::Method::Bye]);
 }
+
+/// A first attempt is answered after it was over here, while a second one is out at the same server: the call that
+/// stands by it is released once the second one fails, and not before, for servers tell calls by their id alone.
+#[test]
+fn a_late_answer_beside_a_further_attempt_at_its_server_is_released_if_that_fails() {
+    use lemoncleat_sip::Method;
+    for how in ["refused", "answered", "withdrawn", "left", "its connection closed", "its time over"] {
+        let mut world = World::new();
+        lists(&mut world, 2, "s-b", "127.0.1.2:5070", "removed");
+        world.tell_lines();
+        let caller = world.caller();
+        world.bytes(caller, &invite_for(ID, "voice", "dest:0;width:1;via:-1", "9000"));
+        let (_, first, asked) = world.invited();
+        // Its server's release ends it here, which its answer has crossed.
+        world.bytes(first, &bye(ID, 41));
+        let again = (0..800).find_map(|_| {
+            world.pass(10 * MS);
+            world.tell_lines();
+            world.invites().pop()
+        });
+        let (_, second, again) = again.expect("a further attempt");
+        assert!(first != second && !world.closed.contains(&first));
+        world.raw(first);
+        // Twice, as its server may say it.
+        world.bytes(first, &ok(&asked));
+        world.bytes(first, &ok(&asked));
+        assert_eq!(methods(&world.read(first)), [Method::Ack, Method::Ack], "{how}");
+        match how {
+            "refused" => world.bytes(second, &refusal(&again, 503, "all_trunks_busy")),
+            "answered" => world.bytes(second, &ok(&again)),
+            "withdrawn" => world.bytes(caller, &about(Method::Cancel, ID)),
+            "left" => world.close(caller),
+            "its connection closed" => world.close(second),
+            _ => (0..900).for_each(|_| {
+                world.pass(10 * MS);
+                world.tell_lines();
+            }),
+        }
+        let written = world.read(first);
+        let released = written.iter().filter(|message| message.method() == Some(&Method::Bye)).count();
+        if how == "answered" {
+            assert_eq!((released, &world.answers[ID][..]), (0, &[200][..]));
+            world.bytes(caller, &about(Method::Ack, ID));
+            world.raw(second);
+            world.bytes(caller, &bye(ID, 16));
+            assert_eq!(methods(&world.read(second)), [Method::Bye]);
+        } else {
+            // What a lost connection may have left at its server is released besides.
+            let expected = if how == "its connection closed" { 2 } else { 1 };
+            assert_eq!(released, expected, "{how}: {:?}", methods(&written));
+            assert!(written.iter().all(|message| message.call_id() == Some(ID)), "{how}");
+        }
+    }
+}
