Members of a fleet change while its nodes run

A machine that was replaced needed a restart of all others, whose list was read once. Input::Members brings a new list: those that stay keep all that is held of them, new ones are gone until heard of, those that went are forgotten (state, facts, suspicion, probes, relays, waiting words) and parted from with a last word; rings, order of probes and number of tellings follow. A list that can't be used changes nothing: Notice::MembersRefused, and check_members says why.

--- a/crates/lemoncleat-access/src/fleet.rs
+++ b/crates/lemoncleat-access/src/fleet.rs
@@ -181,6 +181,7 @@
                     Word::Paused(span) => format!("no turn for {} ms", span / 1_000),
                     Word::DirectDropped(id) => format!("bytes for {} dropped", joined.name(id)),
                     Word::FactDropped(id) => format!("a fact of {} dropped", joined.name(id)),
+                    Word::MembersRefused(count) => format!("a list of {count} members can't be used"),
                 };
                 self.fleet_line(line);
             }
--- a/crates/lemoncleat-commons/src/part.rs
+++ b/crates/lemoncleat-commons/src/part.rs
@@ -325,6 +325,7 @@
             Notice::Paused(span) => format!("no turn for {:.1} s", span as f64 / 1e6),
             Notice::DirectDropped(id) => format!("words for {} were dropped", self.name(id)),
             Notice::FactDropped(id) => format!("facts of {} beyond the limits", self.name(id)),
+            Notice::MembersRefused(count) => format!("a list of {count} members can't be used"),
         };
         Said::Log(!matches!(notice, Notice::DirectDropped(_)), text)
     }
--- a/crates/lemoncleat-fleet/src/fleet.rs
+++ b/crates/lemoncleat-fleet/src/fleet.rs
@@ -12,6 +12,7 @@
 use crate::{Carrier, Member, MemberId, Micros, Settings, SettingsError, State, Timing};
 
 mod links;
+mod membership;
 mod probes;
 mod spread;
 mod views;
@@ -77,6 +78,10 @@
         /// What does not fit into one message is dropped, with a notice.
         bytes: Vec<u8>,
     },
+    /// All members from now on, in any order. What is held of those that stay is kept, those that are new are gone
+    /// until they are heard of, and those that went are forgotten: their words are a stranger's. A list that can't be
+    /// used, as [`Fleet::check_members`] tells, changes nothing and is told by a notice.
+    Members(Vec<Member>),
     /// [`Fleet::wake`] is due.
     Timeout,
 }
@@ -135,6 +140,8 @@
     DirectDropped(MemberId),
     /// A fact was dropped: of an own or another's too many kinds, or too large.
     FactDropped(MemberId),
+    /// A list of so many members can't be used; the one before stays.
+    MembersRefused(usize),
 }
 
 /// Counts since the start.
@@ -189,6 +196,19 @@
     keep: Micros,
     /// No connection came; it is not one of the few until then.
     avoid: Micros,
+    /// Comparisons with it that were hurried in vain, one after another. Nodes that hold different lists of members
+    /// never hold the same states: without an end they would compare several times a second for as long as that lasts.
+    futile: u32,
+}
+
+impl Peer {
+    /// A member that was never heard of.
+    fn unheard(member: Member) -> Peer {
+        let (state, incarnation, meeting) = (State::Gone, 0, None);
+        let (linked, sought, parting) = (false, false, false);
+        let (keep, avoid, futile) = (0, 0, 0);
+        Peer { member, state, incarnation, linked, sought, parting, meeting, keep, avoid, futile }
+    }
 }
 
 /// One node's view of who is there and of what the others have set out.
@@ -198,6 +218,8 @@
     carrier: Carrier,
     max_message: usize,
     timing: Timing,
+    /// How many connections the node seeks.
+    links: usize,
     incarnation: u64,
     number: u64,
     jumped: Option<Micros>,
@@ -222,6 +244,8 @@
     sync_with: Option<MemberId>,
     next_retry: Micros,
     noticed: BTreeMap<u8, Micros>,
+    /// Others hold another list of members, or did: they named somebody who is none here, or the own list changed.
+    lists_differ: bool,
     rng: SmallRng,
     stats: Stats,
 }
@@ -243,6 +267,7 @@
             carrier: settings.carrier,
             max_message: settings.max_message,
             timing: settings.timing,
+            links: settings.links,
             incarnation: (u64::from(start) << 32).min(MOST_INCARNATION) + 1,
             number: 0,
             jumped: None,
@@ -263,6 +288,7 @@
             sync_with: None,
             next_retry: 0,
             noticed: BTreeMap::new(),
+            lists_differ: false,
             rng: SmallRng::seed_from_u64(seed),
             stats: Stats::default(),
         };
@@ -272,11 +298,7 @@
                 fleet.member = member;
                 continue;
             }
-            let (state, meeting) = (State::Gone, None);
-            let (linked, sought, parting) = (false, false, false);
-            let (incarnation, keep, avoid) = (0, 0, 0);
-            let peer = Peer { member, state, incarnation, linked, sought, parting, meeting, keep, avoid };
-            fleet.peers.insert(id, peer);
+            fleet.peers.insert(id, Peer::unheard(member));
         }
         fleet.spread.set_state(own, State::Alive, fleet.incarnation, own);
         Ok(fleet)
@@ -291,6 +313,8 @@
             Input::Unlinked(id) => self.unlinked(now, id, out),
             Input::Publish { kind, bytes } => self.publish(now, kind, bytes, out),
             Input::Direct { to, bytes } => self.direct(now, to, bytes, out),
+            // Nothing that is due is done at once: whoever carries the words may learn of the new members later.
+            Input::Members(members) => return self.change_members(now, members, out),
             Input::Timeout => {}
         }
         self.due(now, out);
@@ -398,9 +422,7 @@
 
     fn heard(&mut self, now: Micros, from: MemberId, bytes: &[u8], out: &mut Vec<Output>) {
         if !self.peers.contains_key(&from) {
-            self.stats.strangers += 1;
-            self.notice(now, Notice::Stranger(from), out);
-            return;
+            return self.stranger(now, from, out);
         }
         let message = (bytes.len() <= self.max_message).then(|| read(bytes)).flatten();
         let believed = |header: &Header| u64::from(header.incarnation) <= MOST_INCARNATION;
@@ -441,6 +463,9 @@
         if mended > 0 {
             // There is probably more where that came from.
             self.stats.mended += mended;
+            if let Some(peer) = self.peers.get_mut(&from) {
+                peer.futile = 0;
+            }
             self.next_sync = self.next_sync.min(now + self.timing.gossip);
         }
         if self.incarnation != before {
@@ -541,6 +566,13 @@
         out.push(Output::Tell { to, bytes });
     }
 
+    /// A word of somebody who is no member, or about him.
+    fn stranger(&mut self, now: Micros, id: MemberId, out: &mut Vec<Output>) {
+        self.lists_differ = true;
+        self.stats.strangers += 1;
+        self.notice(now, Notice::Stranger(id), out);
+    }
+
     fn notice(&mut self, now: Micros, notice: Notice, out: &mut Vec<Output>) {
         let sort = match notice {
             Notice::Stranger(_) => 0,
@@ -550,6 +582,7 @@
             Notice::Paused(_) => 4,
             Notice::DirectDropped(_) => 5,
             Notice::FactDropped(_) => 6,
+            Notice::MembersRefused(_) => 7,
         };
         if self.noticed.get(&sort).is_none_or(|last| now - last >= self.timing.notice) {
             self.noticed.insert(sort, now);
--- a/crates/lemoncleat-fleet/src/fleet/probes.rs
+++ b/crates/lemoncleat-fleet/src/fleet/probes.rs
@@ -1,5 +1,7 @@
 //! Probes, suspicions, and whom news is passed on to.
 
+use std::collections::BTreeSet;
+
 use rand::seq::{IndexedRandom, SliceRandom};
 use rand::Rng;
 
@@ -36,6 +38,13 @@
     pub until: Micros,
 }
 
+impl Relay {
+    /// Whether it is asked for by one of these, or about one.
+    pub fn is_of(&self, members: &BTreeSet<MemberId>) -> bool {
+        members.contains(&self.asker) || members.contains(&self.target)
+    }
+}
+
 pub(super) struct Suspicion {
     began: Micros,
     pub due: Micros,
--- a/crates/lemoncleat-fleet/src/fleet/spread.rs
+++ b/crates/lemoncleat-fleet/src/fleet/spread.rs
@@ -54,10 +54,25 @@
     /// Told as often as the logarithm of the members' number, and four times more, news misses a node once in
     /// some fifty times; the rest is the comparisons' work.
     pub fn new(members: usize) -> Spread {
-        let tellings = (members.max(2) as f64).ln().ceil() as u32 + 4;
+        let tellings = tellings(members);
         Spread { items: BTreeMap::new(), hot: BTreeSet::new(), tellings, stamp: 0, states: 0 }
     }
 
+    /// The number of members is another one.
+    pub fn resize(&mut self, members: usize) {
+        self.tellings = tellings(members);
+    }
+
+    /// Drops all that is held of a member.
+    pub fn forget(&mut self, member: MemberId) {
+        let state = Key(member, 0);
+        if let Some(old) = self.items.get(&state) {
+            self.states ^= digest(state, old.version);
+        }
+        self.remove(state);
+        self.keys_of(member).collect::<Vec<_>>().into_iter().for_each(|key| self.remove(key));
+    }
+
     pub fn is_hot(&self) -> bool {
         !self.hot.is_empty()
     }
@@ -222,6 +237,10 @@
     }
 }
 
+fn tellings(members: usize) -> u32 {
+    (members.max(2) as f64).ln().ceil() as u32 + 4
+}
+
 fn digest(key: Key, (incarnation, rank): Version) -> u32 {
     let words = [u64::from(key.0 .0), incarnation, rank];
     let mixed = words
--- a/crates/lemoncleat-fleet/src/fleet/views.rs
+++ b/crates/lemoncleat-fleet/src/fleet/views.rs
@@ -5,6 +5,7 @@
 use lemoncleat_faults::point;
 use rand::Rng;
 
+use super::membership::MOST_FUTILE;
 use super::spread::Newness;
 use super::{Fleet, Kind, Notice, Output, MOST_FACT_BYTES, MOST_INCARNATION};
 use crate::message::{append, Body, Key, Life, News, Version};
@@ -110,8 +111,7 @@
                 } else if self.peers.contains_key(&member) {
                     self.claim(now, member, state, incarnation, by, out)
                 } else {
-                    self.stats.strangers += 1;
-                    self.notice(now, Notice::Stranger(member), out);
+                    self.stranger(now, member, out);
                     false
                 }
             }
@@ -139,8 +139,7 @@
             return false;
         }
         let Some(peer) = self.peers.get(&origin) else {
-            self.stats.strangers += 1;
-            self.notice(now, Notice::Stranger(origin), out);
+            self.stranger(now, origin, out);
             return false;
         };
         if start_of(version.0) < start_of(peer.incarnation) {
@@ -224,7 +223,13 @@
         states: u32,
         out: &mut Vec<Output>,
     ) {
-        if states != self.spread.states() {
+        let same = states == self.spread.states();
+        let futile = self.peers.get_mut(&from).map(|peer| {
+            peer.futile = if same { 0 } else { peer.futile.saturating_add(1) };
+            peer.futile
+        });
+        let in_vain = self.lists_differ && futile.is_none_or(|futile| futile > MOST_FUTILE);
+        if !same && !in_vain {
             // One of the two lacks something, perhaps in another part.
             self.next_sync = self.next_sync.min(now + 2 * self.timing.gossip);
             self.sync_with = Some(from);
@@ -238,8 +243,11 @@
         let lacks: Vec<Key> = mine.iter().filter(|mine| newer(*mine, &theirs)).map(|(key, _)| *key).collect();
         self.fill(now, from, &lacks, out);
         let wants = theirs.iter().filter(|theirs| newer(*theirs, &mine)).map(|(key, _)| *key);
-        // A member's own facts come from itself; and keys are shorter than what they were read from.
-        let wants: Vec<Key> = wants.filter(|key| key.0 != self.own || key.1 == 0).collect();
+        // A member's own facts come from itself; nothing is kept of who is no member here; and keys are shorter than
+        // what they were read from.
+        let held_here =
+            |key: &Key| if key.0 == self.own { key.1 == 0 } else { self.peers.contains_key(&key.0) };
+        let wants: Vec<Key> = wants.filter(held_here).collect();
         if !wants.is_empty() {
             self.tell(now, from, Body::Want(wants), out);
         }
--- a/crates/lemoncleat-fleet/src/settings.rs
+++ b/crates/lemoncleat-fleet/src/settings.rs
@@ -110,16 +110,13 @@
     /// The settings that fit a fleet of this size: messages of 256 bytes as notes, 4,096 over connections; 3
     /// connections, 4 from 64 members on.
     pub fn new(own: &str, members: Vec<Member>, carrier: Carrier) -> Settings {
-        let links = if members.len() < 64 { 3 } else { 4 };
+        let links = usual_links(members.len());
         let max_message = if carrier == Carrier::Notes { LEAST_MESSAGE } else { 4_096 };
         Settings { own: own.into(), members, carrier, max_message, links, timing: Timing::default() }
     }
 
     /// The members by digest.
     pub(crate) fn by_id(&self) -> Result<BTreeMap<MemberId, Member>, SettingsError> {
-        if self.members.len() > MOST_MEMBERS {
-            return Err(SettingsError::TooMany(self.members.len()));
-        }
         if self.max_message < LEAST_MESSAGE {
             return Err(SettingsError::SmallMessages(self.max_message));
         }
@@ -128,17 +125,34 @@
         if spans.iter().chain(&[timing.meet, timing.life]).any(|span| *span <= 0) {
             return Err(SettingsError::NoTime);
         }
-        let mut by_id = BTreeMap::<MemberId, Member>::new();
-        for member in &self.members {
-            if let Some(other) = by_id.insert(MemberId::of(&member.name), member.clone()) {
-                return Err(SettingsError::SameDigest(other.name, member.name.clone()));
-            }
-        }
-        if !by_id.contains_key(&MemberId::of(&self.own)) {
-            return Err(SettingsError::NotAMember(self.own.clone()));
+        by_id(&self.own, &self.members)
+    }
+}
+
+/// How many connections a node of a fleet of this size seeks, unless it is told otherwise.
+pub(crate) fn usual_links(members: usize) -> usize {
+    if members < 64 {
+        3
+    } else {
+        4
+    }
+}
+
+/// The members by digest, if they are not too many, can be told apart, and the node is one of them.
+pub(crate) fn by_id(own: &Arc<str>, members: &[Member]) -> Result<BTreeMap<MemberId, Member>, SettingsError> {
+    if members.len() > MOST_MEMBERS {
+        return Err(SettingsError::TooMany(members.len()));
+    }
+    let mut by_id = BTreeMap::<MemberId, Member>::new();
+    for member in members {
+        if let Some(other) = by_id.insert(MemberId::of(&member.name), member.clone()) {
+            return Err(SettingsError::SameDigest(other.name, member.name.clone()));
         }
-        Ok(by_id)
     }
+    if by_id.get(&MemberId::of(own)).is_none_or(|member| member.name != *own) {
+        return Err(SettingsError::NotAMember(own.clone()));
+    }
+    Ok(by_id)
 }
 
 /// Why settings can't be used.
--- a/crates/lemoncleat-fleet/tests/common/mod.rs
+++ b/crates/lemoncleat-fleet/tests/common/mod.rs
@@ -26,7 +26,12 @@
 pub struct Net {
     pub now: Micros,
     pub nodes: Vec<Option<Fleet>>,
+    /// All that ever are members.
     pub members: Vec<Member>,
+    /// Those that are now, for nodes that start and for what is right.
+    pub listed: BTreeSet<usize>,
+    /// Those that each node knows of.
+    lists: Vec<BTreeSet<usize>>,
     pub carrier: Carrier,
     /// Share of messages lost, delivered twice, or held back for up to two seconds.
     pub lost: f64,
@@ -53,11 +58,19 @@
 
 impl Net {
     pub fn new(size: usize, carrier: Carrier, seed: u64) -> Net {
+        Net::with_spares(size, 0, carrier, seed)
+    }
+
+    /// So many nodes that start, and some that are no members yet.
+    pub fn with_spares(first: usize, spares: usize, carrier: Carrier, seed: u64) -> Net {
+        let size = first + spares;
         let name = |at: usize| Member { name: format!("n{at}").into(), zone: format!("z{}", at % 3).into() };
         let mut net = Net {
             now: 0,
             nodes: (0..size).map(|_| None).collect(),
             members: (0..size).map(name).collect(),
+            listed: (0..first).collect(),
+            lists: vec![BTreeSet::new(); size],
             carrier,
             lost: 0.0,
             twice: 0.0,
@@ -77,7 +90,7 @@
             states: BTreeMap::new(),
             rng: SmallRng::seed_from_u64(seed),
         };
-        (0..size).for_each(|at| net.start(at, 100));
+        (0..first).for_each(|at| net.start(at, 100));
         net
     }
 
@@ -90,12 +103,44 @@
     }
 
     pub fn start(&mut self, at: usize, start: u32) {
-        let settings = Settings::new(&self.members[at].name, self.members.clone(), self.carrier);
+        let settings = Settings::new(&self.members[at].name, self.those(&self.listed), self.carrier);
+        self.lists[at] = self.listed.clone();
         self.nodes[at] = Some(Fleet::new(settings, start, self.rng.random()).expect("settings"));
         self.lives[at] += 1;
         self.turn(at, Input::Timeout);
     }
 
+    pub fn those(&self, list: &BTreeSet<usize>) -> Vec<Member> {
+        list.iter().map(|at| self.members[*at].clone()).collect()
+    }
+
+    /// A node learns which members there are now. Its carrier ends the connections with those that went.
+    pub fn change(&mut self, at: usize) {
+        let list = self.listed.clone();
+        if self.nodes[at].is_none() || !list.contains(&at) {
+            return;
+        }
+        let went: Vec<usize> = self.lists[at].difference(&list).copied().collect();
+        for one in &went {
+            // What is heard of it later begins anew.
+            let (life, id) = (self.lives[at], self.id(*one));
+            self.seen.remove(&(at, life, id));
+            self.states.remove(&(at, life, id));
+        }
+        self.turn(at, Input::Members(self.those(&list)));
+        self.lists[at] = list;
+        for one in went {
+            if self.links.remove(&(at.min(one), at.max(one))).is_some() {
+                self.push(0, Event::Unlink(at, one));
+                self.push(20_000, Event::Unlink(one, at));
+            }
+        }
+    }
+
+    pub fn change_all(&mut self) {
+        (0..self.nodes.len()).for_each(|at| self.change(at));
+    }
+
     pub fn kill(&mut self, at: usize) {
         self.nodes[at] = None;
         self.lives[at] += 1;
@@ -156,6 +201,7 @@
                 let most = if self.carrier == Carrier::Notes { 256 } else { 4_096 };
                 assert!(bytes.len() <= most, "law: a message of {} bytes", bytes.len());
                 let to = self.at(*to);
+                assert!(self.lists[at].contains(&to), "law: a word for one that is no member");
                 self.told = (self.told.0 + 1, self.told.1 + bytes.len() as u64);
                 if !self.cut.contains(&(at, to)) && self.rng.random::<f64>() >= self.lost {
                     for _ in 0..1 + u32::from(self.rng.random::<f64>() < self.twice) {
@@ -168,6 +214,7 @@
             }
             Output::Meet(to) => {
                 let to = self.at(*to);
+                assert!(self.lists[at].contains(&to), "law: a connection to one that is no member");
                 return self.push(10_000, Event::Link(at, to));
             }
             Output::Part(to) => {
@@ -256,7 +303,8 @@
             Event::Link(_, to) => {
                 let cut = self.cut.contains(&(at, to)) || self.cut.contains(&(to, at));
                 let there = self.nodes[at].is_some() && self.nodes[to].is_some();
-                if there && !cut && !self.paused.contains_key(&to) {
+                let known = self.lists[at].contains(&to) && self.lists[to].contains(&at);
+                if there && known && !cut && !self.paused.contains_key(&to) {
                     let pair = (at.min(to), at.max(to));
                     if let Entry::Vacant(link) = self.links.entry(pair) {
                         link.insert(at);
@@ -291,7 +339,7 @@
 
     /// How many pairs of nodes hold something wrong of each other, state or fact.
     pub fn wrong(&self) -> usize {
-        let there: Vec<usize> = (0..self.nodes.len()).filter(|at| self.nodes[*at].is_some()).collect();
+        let there: Vec<usize> = self.listed.iter().copied().filter(|at| self.nodes[*at].is_some()).collect();
         let ids: BTreeSet<MemberId> = there.iter().map(|at| self.id(*at)).collect();
         let newest = |node: &Fleet| -> Vec<_> {
             let mut facts: Vec<_> =
@@ -307,7 +355,8 @@
             let states = node.members().filter(|(id, _, state, _)| {
                 *state != if ids.contains(id) { State::Alive } else { State::Gone }
             });
-            states.count() + usize::from(newest(node) != all)
+            let lists = node.members().count() != self.listed.len();
+            states.count() + usize::from(lists) + usize::from(newest(node) != all)
         };
         there.iter().map(|at| right(self.nodes[*at].as_ref().expect("there"))).sum()
     }
