A node's members change in place, and it counts what control costs it

Members were read at the start, so that a replaced machine meant a restart of all others; and nothing told what the words of the fleet cost a node on the wire. Input::Members brings a new list: hosts that stay keep place and connection (with another address the connection ends in order, and the new one is dialled if the member is to be met), new ones get the next places, those that went leave theirs empty and are strangers. Names of clients and servers, and second mentions, are refused by a notice and keep a place, so that all count places alike. Places are 16,384 at the most. Stats has control_sent_messages, control_sent_bytes, control_received_messages and control_received_bytes of all connections with members, both ways; the counting needs a line each where bytes come and go in peers.rs.

Measured: 40 plays of two nodes that dial each other at once, talk, watch and part, messages in one to three pieces: all four figures are those of the bytes that crossed, at both ends.

--- a/crates/lemoncleat-node/src/node/mod.rs
+++ b/crates/lemoncleat-node/src/node/mod.rs
@@ -35,7 +35,7 @@
 use crate::list::ListNews;
 use crate::notice::{CallStep, Notice};
 use crate::servers::Servers;
-use crate::settings::NodeSettings;
+use crate::settings::{MemberPeer, NodeSettings};
 use crate::{translate, Micros, TimerKey, Wheel};
 use lemoncleat_core::Deadline;
 
@@ -77,6 +77,11 @@
     Part(usize),
     /// Say something to a member, in at most [`WORD_MOST`] bytes: sent at once, or dropped and counted.
     Word(usize, &'a [u8]),
+    /// All members of the fleet from now on, in any order. One that stays keeps its place and its connection, unless
+    /// its address is another one: then the connection is ended in order, and the new address is dialled if the member
+    /// is to be met. One that is new takes the next place that none ever had. One that went leaves its place empty for
+    /// good, and its connection is ended in order.
+    Members(Vec<MemberPeer>),
     /// Refuse new calls of clients from now on, with this time to come back; or take them again. Standing calls
     /// and set-ups under way live on.
     Fence(Option<Micros>),
@@ -147,6 +152,15 @@
     pub words_heard: u64,
     /// Words that could not be sent: no connection, too much waiting, or too long.
     pub words_dropped: u64,
+    /// Messages given to connections with members, whoever made them: words and their answers, capabilities, watchdogs,
+    /// and what ends a connection.
+    pub control_sent_messages: u64,
+    /// Their bytes, from the first of the Diameter header to the last of the padding, before TLS.
+    pub control_sent_bytes: u64,
+    /// Whole messages read from such connections.
+    pub control_received_messages: u64,
+    /// All bytes that came on them, also those of a message that is not whole yet.
+    pub control_received_bytes: u64,
     /// Calls standing now.
     pub standing: usize,
     /// Calls being set up now.
@@ -185,6 +199,8 @@
 struct Conn {
     reader: FrameReader,
     owner: Option<PeerId>,
+    /// Bytes that came before it was known whose it is.
+    unowned: usize,
     queued: usize,
     /// Names that its certificate holds, on a secured connection.
     names: Option<Vec<String>>,
@@ -358,6 +374,7 @@
             Input::Meet(member) => self.meet(member),
             Input::Part(member) => self.part(member),
             Input::Word(member, bytes) => self.word(member, bytes),
+            Input::Members(members) => self.change_members(members),
             Input::Fence(come_back) => self.fence = come_back,
             Input::Stop => self.stop(),
         }
--- a/crates/lemoncleat-node/src/node/peers.rs
+++ b/crates/lemoncleat-node/src/node/peers.rs
@@ -7,7 +7,8 @@
     // ---- Connections ----
 
     pub(super) fn new_conn(&self, owner: Option<PeerId>) -> Conn {
-        Conn { reader: FrameReader::new(self.settings.max_message), owner, queued: 0, names: None }
+        let reader = FrameReader::new(self.settings.max_message);
+        Conn { reader, owner, unowned: 0, queued: 0, names: None }
     }
 
     pub(super) fn accepted(&mut self, conn: ConnId) {
@@ -22,6 +23,7 @@
     }
 
     pub(super) fn bytes(&mut self, conn: ConnId, bytes: &[u8]) {
+        self.count_received(conn, bytes.len());
         let Some(state) = self.conns.get_mut(&conn) else { return };
         let mut reader = std::mem::replace(&mut state.reader, FrameReader::new(0));
         reader.push(bytes);
@@ -76,6 +78,8 @@
             return self.lose(conn);
         }
         state.queued += bytes.len();
+        let owner = state.owner;
+        self.count_sent(owner, bytes.len());
         self.out.push(Output::Send(conn, bytes));
     }
 
@@ -84,6 +88,9 @@
         match self.conns.get(&conn).and_then(|conn| conn.owner) {
             None => self.first_message(conn, &message),
             Some(peer) => {
+                if self.is_member(peer) {
+                    self.stats.control_received_messages += 1;
+                }
                 if self.tell_peer(peer, PeerInput::Message(conn, &message)) {
                     self.deliver(peer, conn, &message);
                 }
@@ -121,6 +128,11 @@
         };
         if let Some(state) = self.conns.get_mut(&conn) {
             state.owner = Some(peer);
+            let unowned = std::mem::take(&mut state.unowned);
+            if self.is_member(peer) {
+                self.stats.control_received_messages += 1;
+                self.stats.control_received_bytes += unowned as u64;
+            }
         }
         self.tell_peer(peer, PeerInput::Accepted(conn, message));
     }
--- a/crates/lemoncleat-node/tests/members.rs
+++ b/crates/lemoncleat-node/tests/members.rs
@@ -248,6 +248,149 @@
     assert!(refused(OTHER) && refused("front.example") && !refused("node.example"));
 }
 
+fn refusals(bench: &Bench, host: &str) -> usize {
+    let refused = |notice: &&Notice| matches!(notice, Notice::PeerRefused(of, _) if &**of == host);
+    bench.notices.iter().filter(refused).count()
+}
+
+#[test]
+fn a_machine_is_replaced_its_place_stays_empty_and_the_others_keep_theirs() {
+    let mut settings = with_members();
+    settings.members.push(member("n3.example", 3));
+    let mut bench = Bench::new(settings);
+    let (went, stays) = (bench.client(OTHER), bench.client("n3.example"));
+    // In another order, and the new one in front.
+    let list = vec![member("n4.example", 4), member("n3.example", 3), member("node.example", 1)];
+    bench.input(Input::Members(list.clone()));
+    assert_eq!(bench.links, [(1, true), (2, true), (1, false)]);
+    assert!(
+        bench.take(stays).is_empty() && bench.notices.iter().all(|it| !matches!(it, Notice::PeerDown(..)))
+    );
+    let dpr = bench.one(went, "DPR");
+    assert_eq!(dpr.message().number(d::DISCONNECT_CAUSE), Some(2));
+    // What it says until then is not heard; what is said to it is dropped.
+    bench.bytes(went, &fwr(OTHER, 1, b"still here"));
+    bench.input(Input::Word(1, b"x"));
+    bench.input(Input::Meet(1));
+    assert!(bench.heard.is_empty() && bench.dials.is_empty() && bench.take(went).is_empty());
+    assert_eq!((bench.node.stats().words_dropped, bench.node.stats().words_sent), (1, 0));
+    bench.answer(went, &dpr, code::SUCCESS);
+    assert!(bench.closed.contains(&went));
+    // It is a stranger now.
+    let again = bench.conn();
+    bench.input(Input::Accepted(again));
+    let cer = bench.cer(OTHER, 1);
+    bench.bytes(again, &cer);
+    assert_eq!(bench.one(again, "CEA").result(), code::UNKNOWN_PEER);
+    // The new one has the next place; the same list once more changes nothing.
+    bench.input(Input::Meet(3));
+    assert_eq!(bench.dials.iter().map(|(_, to)| to.port()).collect::<Vec<_>>(), [4]);
+    bench.input(Input::Members(list.clone()));
+    assert_eq!((bench.dials.len(), bench.links.len()), (1, 3));
+    bench.input(Input::Word(2, b"as before"));
+    assert_eq!(bench.names(stays), ["FWR"]);
+    // Back under its name it gets a place of its own.
+    bench.input(Input::Members([list, vec![member(OTHER, 2)]].concat()));
+    bench.client(OTHER);
+    assert_eq!(bench.links.last(), Some(&(4, true)));
+    assert!(refusals(&bench, OTHER) == 0 && refusals(&bench, "node.example") == 0);
+}
+
+#[test]
+fn a_member_that_goes_while_it_is_dialled_or_lost_is_dialled_no_more() {
+    for dialled in [false, true] {
+        let mut bench = Bench::new(with_members());
+        bench.input(Input::Meet(1));
+        let (peer, _) = bench.dials[0];
+        if dialled {
+            bench.dials.clear();
+            bench.input(Input::DialFailed(peer));
+        }
+        bench.input(Input::Members(vec![member("node.example", 1)]));
+        assert!(bench.dials.is_empty(), "the dial is stopped");
+        bench.pass(60 * SECOND);
+        assert!(bench.dials.is_empty() && bench.links.is_empty());
+    }
+}
+
+#[test]
+fn a_member_of_another_address_is_ended_in_order_and_dialled_there_if_it_is_to_be_met() {
+    let moved = || vec![member("node.example", 1), member(OTHER, 9)];
+    let mut bench = Bench::new(with_members());
+    bench.input(Input::Meet(1));
+    let (peer, _) = bench.dials.remove(0);
+    let conn = bench.conn();
+    bench.input(Input::Dialled(peer, conn));
+    let cer = bench.one(conn, "CER");
+    bench.bytes(conn, &capabilities(MessageBuilder::answer(&cer.message(), 2001), OTHER, 1));
+    bench.input(Input::Members(moved()));
+    assert_eq!(bench.links, [(1, true), (1, false)]);
+    let dpr = bench.one(conn, "DPR");
+    assert_eq!(dpr.message().number(d::DISCONNECT_CAUSE), Some(0));
+    bench.answer(conn, &dpr, code::SUCCESS);
+    bench.pass(12 * SECOND);
+    assert_eq!(bench.dials.iter().map(|(_, to)| to.port()).collect::<Vec<_>>(), [9]);
+    // While it is being dialled there, it moves once more.
+    bench.input(Input::Members(with_members().members));
+    assert_eq!(bench.dials.iter().map(|(_, to)| to.port()).collect::<Vec<_>>(), [2]);
+    // A connection that the member made, and that nobody here asked for, is ended and not sought.
+    let (mut bench, conn) = linked();
+    bench.input(Input::Members(moved()));
+    let dpr = bench.one(conn, "DPR");
+    bench.answer(conn, &dpr, code::SUCCESS);
+    bench.pass(12 * SECOND);
+    assert!(bench.dials.is_empty() && bench.closed.contains(&conn));
+    let theirs = bench.conn();
+    bench.input(Input::Accepted(theirs));
+    let cer = bench.cer(OTHER, 1);
+    bench.bytes(theirs, &cer);
+    assert_eq!(bench.links.last(), Some(&(1, true)));
+}
+
+#[test]
+fn a_list_that_names_clients_servers_or_one_twice_is_taken_but_for_these() {
+    let mut bench = Bench::new(with_members());
+    bench.server("a.example");
+    let list = || {
+        let mut members = with_members().members;
+        members.extend([
+            member("a.example", 5),
+            member("front.example", 6),
+            member(OTHER, 7),
+            member("n3.example", 8),
+        ]);
+        members
+    };
+    bench.input(Input::Members(list()));
+    assert_eq!(
+        [OTHER, "a.example", "front.example", "n3.example"].map(|host| refusals(&bench, host)),
+        [1, 1, 1, 0]
+    );
+    // They keep the places that they would have.
+    for place in 1..6 {
+        bench.input(Input::Meet(place));
+    }
+    assert_eq!(bench.dials.iter().map(|(_, to)| to.port()).collect::<Vec<_>>(), [2, 8]);
+    // Calls go on: the client and the server are what they were.
+    let client = bench.client("front.example");
+    bench.call(client, "s;1");
+    assert!(
+        bench.node.stats().calls == 1 && bench.notices.iter().all(|it| !matches!(it, Notice::PeerDown(..)))
+    );
+}
+
+#[test]
+fn members_come_back_under_their_names_only_as_often_as_there_are_places() {
+    let mut bench = Bench::new(with_members());
+    for _ in 0..16 * 1024 {
+        bench.input(Input::Members(vec![member("node.example", 1)]));
+        bench.input(Input::Members(with_members().members));
+    }
+    assert_eq!(refusals(&bench, OTHER), 2, "the last two find no place");
+    bench.input(Input::Meet(16 * 1024));
+    assert!(bench.dials.is_empty());
+}
+
 /// Calls of all kinds of ends, with the frames that clients and servers got.
 fn day(settings: NodeSettings, member: bool) -> Vec<Vec<u8>> {
     let mut bench = Bench::new(settings);
@@ -327,6 +470,21 @@
     heard: [Vec<Vec<u8>>; 2],
     /// Connections that were accepted in all.
     accepted: u64,
+    /// Messages and bytes that each node sent, and that came to it.
+    sent: [(u64, u64); 2],
+    came: [(u64, u64); 2],
+    /// How many pieces a message comes in.
+    pieces: usize,
+}
+
+fn messages(bytes: &[u8]) -> u64 {
+    let mut reader = lemoncleat_node::FrameReader::new(1 << 20);
+    reader.push(bytes);
+    let mut count = 0;
+    while reader.next_frame().expect("whole messages").is_some() {
+        count += 1;
+    }
+    count
 }
 
 /// The other end of a connection: ends come in pairs.
@@ -354,6 +512,9 @@
             linked: [false; 2],
             heard: Default::default(),
             accepted: 0,
+            sent: [(0, 0); 2],
+            came: [(0, 0); 2],
+            pieces: 1,
         }
     }
 
@@ -378,6 +539,8 @@
                 }
                 Output::Send(conn, bytes) => {
                     let count = bytes.len();
+                    let sent = &mut self.sent[node];
+                    *sent = (sent.0 + messages(&bytes), sent.1 + count as u64);
                     if !self.cut[node] {
                         self.later(1 - node, far(conn), Step::Bytes(far(conn), bytes));
                     }
@@ -432,7 +595,13 @@
                 self.tell(node, Input::Dialled(peer, conn));
             }
             Step::Bytes(conn, bytes) if self.open.contains_key(&conn) => {
-                self.tell(node, Input::Bytes(conn, &bytes));
+                for piece in bytes.chunks(bytes.len().div_ceil(self.pieces)) {
+                    if self.open.contains_key(&conn) {
+                        self.came[node].1 += piece.len() as u64;
+                        self.tell(node, Input::Bytes(conn, piece));
+                    }
+                }
+                self.came[node].0 += messages(&bytes);
             }
             Step::Closed(conn) if self.open.remove(&conn).is_some() => self.tell(node, Input::Closed(conn)),
             Step::Bytes(..) | Step::Closed(_) => {}
@@ -488,3 +657,55 @@
         net.say(5);
     }
 }
+
+#[test]
+fn what_control_costs_is_counted_to_the_byte_at_both_ends() {
+    for seed in 0..40 {
+        let mut net = Net::new(seed);
+        net.pieces = 1 + seed as usize % 3;
+        net.tell(0, Input::Meet(1));
+        let apart = net.rng.random_range(0..60 * MS);
+        net.pass(apart);
+        net.tell(1, Input::Meet(0));
+        net.pass(5 * SECOND);
+        net.say(20);
+        net.pass(10 * SECOND);
+        net.tell(0, Input::Part(1));
+        net.tell(1, Input::Part(0));
+        net.pass(10 * SECOND);
+        assert!(net.open.is_empty(), "seed {seed}");
+        for node in 0..2 {
+            let stats = net.nodes[node].stats();
+            let sent = (stats.control_sent_messages, stats.control_sent_bytes);
+            let came = (stats.control_received_messages, stats.control_received_bytes);
+            assert_eq!((sent, came), (net.sent[node], net.came[node]), "seed {seed}, node {node}");
+            // Words and answers both ways, capabilities, watchdogs, an end.
+            assert!(sent.0 >= 20 * 2 + 2 + 5, "seed {seed}: {} messages", sent.0);
+        }
+    }
+}
+
+#[test]
+fn clients_servers_and_strangers_are_no_cost_of_control() {
+    let (mut bench, _) = linked();
+    let before = bench.node.stats();
+    let (client, server) = (bench.client("front.example"), bench.server("a.example"));
+    bench.call(client, "s;1");
+    let attempt = bench.one(server, "AAR");
+    bench.answer(server, &attempt, code::SUCCESS);
+    let stranger = bench.conn();
+    bench.input(Input::Accepted(stranger));
+    let cer = bench.cer("n9.example", 1);
+    bench.bytes(stranger, &cer);
+    let after = bench.node.stats();
+    let control = |it: lemoncleat_node::Stats| {
+        (
+            it.control_sent_messages,
+            it.control_sent_bytes,
+            it.control_received_messages,
+            it.control_received_bytes,
+        )
+    };
+    assert_eq!(control(before), control(after));
+    assert_eq!((control(before).0, control(before).2), (1, 1), "the member's CER, and its answer");
+}
