--- a/crates/lemoncleat-commons/src/part.rs
+++ b/crates/lemoncleat-commons/src/part.rs
@@ -77,18 +77,20 @@
 
 /// A node's part in its fleet.
 pub struct Part {
-    fleet: Fleet,
-    ids: Vec<MemberId>,
-    places: BTreeMap<MemberId, usize>,
-    names: Names,
-    pieces: Pieces,
-    agreed: Option<Agreed>,
+    pub(crate) fleet: Fleet,
+    /// By place, those that went among them.
+    pub(crate) ids: Vec<MemberId>,
+    /// Of the members in force.
+    pub(crate) places: BTreeMap<MemberId, usize>,
+    pub(crate) names: Names,
+    pub(crate) pieces: Pieces,
+    pub(crate) agreed: Option<Agreed>,
     watch: Option<Watch>,
     start: u32,
     /// The figures told last, and when they are told again though they are the same.
     told: Option<(Figures, Micros)>,
     tell_at: Micros,
-    outputs: Vec<Output>,
+    pub(crate) outputs: Vec<Output>,
     asks: Vec<Ask>,
     judged: Vec<consistency::Output>,
 }
@@ -141,7 +143,7 @@
 
     /// Watches from now on that all members of the same rules decide alike. `D` is what decides at this node.
     pub fn watch<D: Decider + 'static>(&mut self, now: Micros, check: RulesCheck, said: &mut Vec<Said>) {
-        let members = self.ids.iter().map(|id| id.0).collect();
+        let members = self.places.keys().map(|id| id.0).collect();
         let mut watch = Watch::new::<D>(self.fleet.own().0, self.start, members, &check);
         watch.handle(now, consistency::Input::Rules(check.rules), &mut self.judged);
         self.watch = Some(watch);
@@ -224,7 +226,7 @@
         self.settle(now, said);
     }
 
-    fn settle(&mut self, now: Micros, said: &mut Vec<Said>) {
+    pub(crate) fn settle(&mut self, now: Micros, said: &mut Vec<Said>) {
         while !self.outputs.is_empty() || !self.asks.is_empty() || !self.judged.is_empty() {
             for output in std::mem::take(&mut self.outputs) {
                 self.output(now, output, said);
@@ -280,7 +282,7 @@
                 }
             }
             Output::State { member, state, .. } => {
-                let (alive, of, member) = (self.fleet.alive(), self.ids.len(), self.name(member));
+                let (alive, of, member) = (self.fleet.alive(), self.places.len(), self.name(member));
                 said.push(match state {
                     State::Alive => Said::Log(false, format!("{member} is there, {alive} of {of} are")),
                     State::Suspect => Said::Log(false, format!("{member} is suspected")),
@@ -330,7 +332,7 @@
         Said::Log(!matches!(notice, Notice::DirectDropped(_)), text)
     }
 
-    fn name(&self, id: MemberId) -> String {
+    pub(crate) fn name(&self, id: MemberId) -> String {
         name(&self.names, id)
     }
 
@@ -373,7 +375,7 @@
             .collect();
         let stats = self.fleet.stats();
         json!({
-            "ok": true, "alive": self.fleet.alive(), "of": self.ids.len(), "members": members,
+            "ok": true, "alive": self.fleet.alive(), "of": self.places.len(), "members": members,
             "told": stats.told, "told_bytes": stats.told_bytes, "heard": stats.heard,
             "not_heard": stats.strangers + stats.impostors + stats.unreadable + stats.stale,
             "suspicions": stats.suspicions, "refuted": stats.refuted,
--- a/crates/lemoncleat-commons/src/seat.rs
+++ b/crates/lemoncleat-commons/src/seat.rs
@@ -129,6 +129,16 @@
         }
     }
 
+    /// The voters, the node itself among them where it is one.
+    pub(crate) fn voters(&self) -> &[MemberId] {
+        &self.voters
+    }
+
+    /// The members have these names from now on.
+    pub(crate) fn rename(&mut self, names: Names) {
+        self.names = names;
+    }
+
     /// Why a voter of the settings only follows.
     pub(crate) fn broken(&self) -> Option<&str> {
         self.broken.as_deref()
