Access node: settings change in place, calls and what was learned stay

Node::configure takes new settings within one turn, whole or not at all: classes, worths, plan, clients, limits, cold, attempts, release, repeat, come-back-after, tells-wait, may-cancel, nodes. Host, realm, addresses, circuits, timing, log.calls, number and limits.duplicates are refused in one line with the field. The module is rebuilt from its own serialized state (CBOR values, floats to the bit); classes are moved by name, derived figures are a fresh module's. A class that went stays behind the others until its pending calls are over, rather than being refused: under traffic it would never be gone, and one such node would take every such change back. A client that went keeps its connection until its last call ended.

--- a/crates/lemoncleat-node/src/lib.rs
+++ b/crates/lemoncleat-node/src/lib.rs
@@ -12,6 +12,7 @@
 mod node;
 mod notice;
 mod plan;
+mod rebuild;
 mod servers;
 mod settings;
 mod translate;
--- a/crates/lemoncleat-node/src/node/calls.rs
+++ b/crates/lemoncleat-node/src/node/calls.rs
@@ -128,6 +128,8 @@
             Some((code::TOO_BUSY, "this node is stopping"))
         } else if let Some(text) = self.fenced() {
             Some((code::TOO_BUSY, text))
+        } else if self.peers[client.0 as usize].leaving {
+            Some((code::UNABLE_TO_DELIVER, "this node takes no more calls of this client"))
         } else if self.calls.len() >= self.settings.max_calls {
             let host = self.host(client);
             self.notice(Notice::CallsFull(host));
@@ -211,6 +213,7 @@
         if self.stopping && before != client {
             self.finish_stopping(false);
         }
+        self.client_done(before);
     }
 
     pub(super) fn session_terminated(&mut self, conn: ConnId, message: &MessageRef<'_>) {
@@ -680,6 +683,7 @@
         if self.stopping {
             self.finish_stopping(false);
         }
+        self.client_done(call.client);
     }
 }
 
--- a/crates/lemoncleat-node/src/node/mod.rs
+++ b/crates/lemoncleat-node/src/node/mod.rs
@@ -1,6 +1,7 @@
 //! The node: its inputs and outputs, its timers, and the way between events and actions.
 
 mod calls;
+mod configure;
 mod door;
 mod gap;
 mod guard;
@@ -191,6 +192,8 @@
     owed: Vec<Arc<str>>,
     /// Calls of a client, or standing at a server.
     calls: usize,
+    /// A client that the settings name no more: it loses its connection with its last call.
+    leaving: bool,
     /// The trunk group toward a server.
     trunk: Option<trunks::Trunk>,
 }
@@ -220,6 +223,7 @@
     Drained,
     IncomingDeadline(PeerId, u64),
     CaughtUp(u64),
+    Classes,
 }
 
 /// The core of an access node.
@@ -227,6 +231,9 @@
     settings: NodeSettings,
     local: Arc<Local>,
     controller: Controller,
+    /// The names of the classes that the module knows: those of the settings, then those that went while calls of
+    /// them are pending.
+    classes: Vec<Arc<str>>,
     wheel: Wheel<Timer>,
     conns: FxHashMap<ConnId, Conn>,
     peers: Vec<PeerSlot>,
@@ -282,6 +289,7 @@
         let mut node = Node {
             local,
             controller,
+            classes: settings.class_names.clone(),
             wheel: Wheel::new(),
             conns: FxHashMap::default(),
             peers: Vec::new(),
@@ -464,6 +472,7 @@
             Timer::Drained => self.finish_stopping(true),
             Timer::IncomingDeadline(peer, call) => self.incoming_last_moment(peer, call),
             Timer::CaughtUp(number) => self.caught_up_late(number),
+            Timer::Classes => self.forget_classes(),
         }
     }
 
--- a/crates/lemoncleat-node/src/node/peers.rs
+++ b/crates/lemoncleat-node/src/node/peers.rs
@@ -115,7 +115,7 @@
             self.send(conn, answer);
             return self.close(conn);
         }
-        let Some(&peer) = self.hosts.get(host) else {
+        let Some(peer) = self.hosts.get(host).copied().filter(|peer| !self.has_left(*peer)) else {
             let text = format!("{host} is not a known peer");
             self.notice(Notice::UnknownPeer(conn, host.to_owned()));
             let fault = match check_request(message) {
@@ -178,6 +178,7 @@
             armed: None,
             owed: Vec::new(),
             calls: 0,
+            leaving: false,
             trunk: None,
         });
         self.hosts.insert(host, id);
--- a/crates/lemoncleat-node/src/settings.rs
+++ b/crates/lemoncleat-node/src/settings.rs
@@ -94,6 +94,8 @@
     pub members: Vec<MemberPeer>,
     /// What the decision module is told.
     pub module: Settings,
+    /// The names of its classes, by index: by them calls keep their class when settings change in place.
+    pub class_names: Vec<Arc<str>>,
     /// Class and pool of first choice by number.
     pub plan: NumberingPlan,
     /// Spans of time.
@@ -115,7 +117,7 @@
 }
 
 impl NodeSettings {
-    /// Settings with defaults for all that has one.
+    /// Settings with defaults for all that has one; classes are named by their index.
     pub fn new(host: &str, realm: &str, module: Settings, plan: NumberingPlan) -> Self {
         NodeSettings {
             host: host.into(),
@@ -123,6 +125,7 @@
             addresses: vec![IpAddr::from([127, 0, 0, 1])],
             clients: Vec::new(),
             members: Vec::new(),
+            class_names: (0..module.classes.len()).map(|class| class.to_string().into()).collect(),
             module,
             plan,
             timing: Timing::default(),
--- a/crates/lemoncleat-node/tests/common/mod.rs
+++ b/crates/lemoncleat-node/tests/common/mod.rs
@@ -110,6 +110,11 @@
     pub fn input(&mut self, input: Input<'_>) {
         let mut out = Vec::new();
         self.node.handle(self.now, input, &mut out);
+        self.carry_out(out);
+    }
+
+    /// Does what the node asks for.
+    pub fn carry_out(&mut self, out: Vec<Output>) {
         let mut written = Vec::new();
         for output in out {
             match output {
