Settings: a text that a fleet agrees on is read with a node's own file, and checked

Need: the agreed configuration holds what is the same at all nodes; the rest stays each node's own file's.

read_shared reads such a text alone, read_config_with puts it over the file for the fields that it names (members of the fleet, servers, clients, classes, plan, nodes, attempts, release, repeat, tells-wait, may-cancel, come-back-after, cold, limits); a single figure of cold or limits may be named. What does not fit together is told with its place in the text too. New for every file: a class named twice is refused, since classes are known by name now.

--- a/crates/lemoncleat-cli/src/args.rs
+++ b/crates/lemoncleat-cli/src/args.rs
@@ -60,6 +60,9 @@
 pub struct CheckArgs {
     /// The settings file.
     pub file: PathBuf,
+    /// A text of the configuration that a fleet agrees on: whether a node with those settings could put it in force.
+    #[arg(long, value_name = "FILE")]
+    pub shared: Option<PathBuf>,
 }
 
 #[derive(ClapArgs)]
--- a/crates/lemoncleat-cli/src/node.rs
+++ b/crates/lemoncleat-cli/src/node.rs
@@ -4,23 +4,37 @@
 use std::path::Path;
 
 use async_signal::Signal;
-use lemoncleat_service::{init_log, read_config, serve, Config, Control, LogFormat, LogTo};
+use lemoncleat_service::{
+    fits_in_place, init_log, read_config, read_config_with, serve, Config, Control, LogFormat, LogTo,
+};
 
 use crate::args::{CheckArgs, NodeArgs};
 use crate::{signals, Failure};
 
-pub fn read(file: &Path) -> Result<Config, Failure> {
+fn text_of(file: &Path) -> Result<(String, String), Failure> {
     let name = file.display().to_string();
     let text = std::fs::read_to_string(file).map_err(|error| Failure::Usage(format!("{name}: {error}")))?;
+    Ok((name, text))
+}
+
+pub fn read(file: &Path) -> Result<Config, Failure> {
+    let (name, text) = text_of(file)?;
     read_config(&text).map_err(|error| Failure::Usage(error.in_file(&name)))
 }
 
 pub fn check(args: &CheckArgs) -> Result<(), Failure> {
-    let config = read(&args.file)?;
+    let (mut name, own) = text_of(&args.file)?;
+    let mut config = read_config(&own).map_err(|error| Failure::Usage(error.in_file(&name)))?;
+    if let Some(file) = &args.shared {
+        let (shared, text) = text_of(file)?;
+        let with = read_config_with(&own, &text).map_err(|error| Failure::Usage(error.in_file(&shared)))?;
+        fits_in_place(&config.service, &with.service)
+            .map_err(|why| Failure::Usage(format!("{shared}: {why}")))?;
+        (name, config) = (shared, with);
+    }
     let node = &config.service.node;
     println!(
-        "{}: good: node {} of realm {}, {} classes, {} prefixes, {} clients",
-        args.file.display(),
+        "{name}: good: node {} of realm {}, {} classes, {} prefixes, {} clients",
         node.host,
         node.realm,
         node.module.classes.len(),
@@ -28,6 +42,10 @@
         node.clients.len()
     );
     println!("rules {}", config.service.rules.version());
+    if args.shared.is_some() {
+        let fields = if config.differs.is_empty() { "nothing".to_owned() } else { config.differs.join(", ") };
+        println!("differs from {} in {fields}", args.file.display());
+    }
     Ok(())
 }
 
--- a/crates/lemoncleat-service/src/config.rs
+++ b/crates/lemoncleat-service/src/config.rs
@@ -29,6 +29,8 @@
     pub service: ServiceSettings,
     /// How it logs.
     pub log: LogConfig,
+    /// Fields in which the agreed text that it was read with differs from the file.
+    pub differs: Vec<&'static str>,
 }
 
 /// How a node logs.
@@ -51,8 +53,8 @@
 
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case")]
-struct File {
-    host: String,
+pub(crate) struct File {
+    pub(crate) host: String,
     realm: String,
     listen: Vec<SocketAddr>,
     #[serde(default)]
@@ -64,36 +66,36 @@
     #[serde(default)]
     feed: Option<SocketAddr>,
     #[serde(default)]
-    servers: Vec<ServerFile>,
-    clients: Vec<String>,
-    classes: Vec<ClassFile>,
-    plan: Vec<PrefixFile>,
+    pub(crate) servers: Vec<ServerFile>,
+    pub(crate) clients: Vec<String>,
+    pub(crate) classes: Vec<ClassFile>,
+    pub(crate) plan: Vec<PrefixFile>,
     #[serde(default = "one")]
-    nodes: u32,
+    pub(crate) nodes: u32,
     #[serde(default)]
     number: u32,
     #[serde(default = "four")]
-    attempts: u32,
+    pub(crate) attempts: u32,
     #[serde(default = "release")]
-    release: Span,
+    pub(crate) release: Span,
     #[serde(default)]
-    repeat: Span,
+    pub(crate) repeat: Span,
     #[serde(default)]
-    tells_wait: bool,
+    pub(crate) tells_wait: bool,
     #[serde(default = "yes")]
-    may_cancel: bool,
+    pub(crate) may_cancel: bool,
     #[serde(default)]
-    come_back_after: Option<Span>,
+    pub(crate) come_back_after: Option<Span>,
     #[serde(default)]
-    cold: ColdFile,
+    pub(crate) cold: ColdFile,
     #[serde(default)]
     circuits: Option<CircuitsFile>,
     #[serde(default)]
-    fleet: Option<FleetFile>,
+    pub(crate) fleet: Option<FleetFile>,
     #[serde(default)]
     timing: TimingFile,
     #[serde(default)]
-    limits: LimitsFile,
+    pub(crate) limits: LimitsFile,
     #[serde(default)]
     log: LogFile,
     #[serde(default)]
@@ -113,9 +115,9 @@
     Span(300_000)
 }
 
-#[derive(Deserialize)]
+#[derive(Deserialize, PartialEq)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case", rename = "server")]
-struct ServerFile {
+pub(crate) struct ServerFile {
     host: String,
     address: SocketAddr,
     #[serde(default)]
@@ -126,7 +128,7 @@
     kind: String,
 }
 
-#[derive(Clone, Copy, Default, Deserialize)]
+#[derive(Clone, Copy, Default, PartialEq, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 enum EffectFile {
     #[default]
@@ -135,7 +137,7 @@
     Fragile,
 }
 
-#[derive(Clone, Copy, Default, Deserialize)]
+#[derive(Clone, Copy, Default, PartialEq, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 enum GroupFile {
     #[default]
@@ -144,9 +146,9 @@
     Cell,
 }
 
-#[derive(Deserialize)]
+#[derive(Deserialize, PartialEq)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case", rename = "class")]
-struct ClassFile {
+pub(crate) struct ClassFile {
     name: String,
     aim: Span,
     deadline: Span,
@@ -165,9 +167,9 @@
     dedup_window: Span,
 }
 
-#[derive(Deserialize)]
+#[derive(Deserialize, PartialEq)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case", rename = "prefix")]
-struct PrefixFile {
+pub(crate) struct PrefixFile {
     digits: String,
     class: String,
     #[serde(default)]
@@ -176,11 +178,11 @@
 
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case", default)]
-struct ColdFile {
-    from: f64,
-    span: Span,
-    multiple: f64,
-    r#for: Span,
+pub(crate) struct ColdFile {
+    pub(crate) from: f64,
+    pub(crate) span: Span,
+    pub(crate) multiple: f64,
+    pub(crate) r#for: Span,
 }
 
 impl Default for ColdFile {
@@ -486,11 +488,11 @@
 
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case", default)]
-struct LimitsFile {
-    message: Size,
-    connections: usize,
-    calls: usize,
-    queue: Size,
+pub(crate) struct LimitsFile {
+    pub(crate) message: Size,
+    pub(crate) connections: usize,
+    pub(crate) calls: usize,
+    pub(crate) queue: Size,
     duplicates: usize,
 }
 
@@ -539,12 +541,24 @@
 ///
 /// The first mistake: what, where and what was expected.
 pub fn read(text: &str) -> Result<Config, ConfigError> {
-    let file: File = from_str(text)?;
-    file.config()
+    from_str::<File>(text)?.config(text)
+}
+
+/// Reads the text of a settings file together with one that the node's fleet agrees on, which wins for the fields
+/// that it names.
+///
+/// # Errors
+///
+/// The first mistake, with its place in the agreed text; the file is taken to be good by itself.
+pub fn read_with(text: &str, agreed: &str) -> Result<Config, ConfigError> {
+    let shared = crate::shared::shared(agreed)?;
+    let mut file: File = from_str(text)?;
+    let read = shared.over(&mut file).and_then(|differs| Ok(Config { differs, ..file.config(text)? }));
+    read.map_err(|error| crate::shared::placed(agreed, error))
 }
 
 impl File {
-    fn config(self) -> Result<Config, Error> {
+    fn config(self, text: &str) -> Result<Config, Error> {
         for (path, name) in [("host", &self.host), ("realm", &self.realm)] {
             let fits = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '.' | '_');
             if name.is_empty() || !name.chars().all(fits) {
@@ -586,6 +600,12 @@
             (Some(_), true) => return bad("plain", "beside tls, expected only one of the two"),
             _ => {}
         }
+        let twice = |(at, class): &(usize, &ClassFile)| {
+            self.classes.iter().take(*at).any(|other| other.name == class.name)
+        };
+        if let Some((at, class)) = self.classes.iter().enumerate().find(twice) {
+            return bad(&format!("classes[{at}].name"), format!("{:?} stands twice", class.name));
+        }
         let module = self.module()?;
         let mut plan = NumberingPlan::new();
         let mut entries = Vec::new();
@@ -607,6 +627,7 @@
         let mut node = NodeSettings::new(&self.host, &self.realm, module, plan);
         node.addresses = self.listen.iter().map(|address| address.ip()).collect();
         node.addresses.dedup();
+        node.class_names = self.classes.iter().map(|class| class.name.as_str().into()).collect();
         node.clients = self.clients.iter().map(|client| client.as_str().into()).collect();
         node.timing = self.timing.timing();
         node.max_message = self.limits.message.0;
@@ -649,12 +670,14 @@
             seed: self.seed,
             rules,
             fleet,
+            text: text.into(),
         };
         let format = match self.log.format {
             FormatFile::Text => LogFormat::Text,
             FormatFile::Json => LogFormat::Json,
         };
-        Ok(Config { listen: self.listen, service, log: LogConfig { format, filter: self.log.filter } })
+        let log = LogConfig { format, filter: self.log.filter };
+        Ok(Config { listen: self.listen, service, log, differs: Vec::new() })
     }
 
     fn module(&self) -> Result<Settings, Error> {
--- a/crates/lemoncleat-service/src/fleet_settings.rs
+++ b/crates/lemoncleat-service/src/fleet_settings.rs
@@ -31,6 +31,8 @@
     pub round: Micros,
     /// How it is watched that all decide alike.
     pub rules: RulesSettings,
+    /// Where the node keeps the version of the configuration in force, where the fleet has one for all.
+    pub configuration: Option<PathBuf>,
 }
 
 /// How it is watched that members of the same rules decide alike.
@@ -69,6 +71,14 @@
     round: Span,
     #[serde(default)]
     rules: RulesFile,
+    #[serde(default)]
+    configuration: Option<ConfigurationFile>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+struct ConfigurationFile {
+    store: PathBuf,
 }
 
 #[derive(Deserialize)]
@@ -103,9 +113,9 @@
     }
 }
 
-#[derive(Deserialize)]
+#[derive(PartialEq, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case", rename = "member")]
-struct MemberFile {
+pub(crate) struct MemberFile {
     host: String,
     address: SocketAddr,
     #[serde(default)]
@@ -117,6 +127,28 @@
 }
 
 impl FleetFile {
+    /// Puts the members that the fleet agreed on in place of the file's. Where the node itself listens is its own
+    /// file's matter, and can't change while it runs.
+    pub(crate) fn put_members(
+        &mut self,
+        own: &str,
+        members: Option<Vec<MemberFile>>,
+        differs: &mut Vec<&'static str>,
+    ) -> Result<(), Error> {
+        let Some(members) = members.filter(|members| *members != self.members) else { return Ok(()) };
+        let address = |all: &[MemberFile]| all.iter().find(|m| m.host == own).map(|m| m.address);
+        if let (Some(before), Some(new)) = (address(&self.members), address(&members)) {
+            if before != new {
+                let at = members.iter().position(|member| member.host == own).unwrap_or_default();
+                let text = format!("{new}, but this node listens at {before}: it can't change while it runs");
+                return bad(&format!("fleet.members[{at}].address"), text);
+            }
+        }
+        self.members = members;
+        differs.push("members");
+        Ok(())
+    }
+
     /// The settings of the node that has this name.
     pub(crate) fn settings(self, own: &str) -> Result<FleetSettings, Error> {
         if self.members.len() > MOST_MEMBERS {
@@ -169,6 +201,9 @@
         if !ROUNDS.contains(&self.round.0) {
             return bad("fleet.round", "expected 10ms to 60s");
         }
+        if self.configuration.is_some() && self.voters.is_empty() {
+            return bad("fleet.configuration", "given, but this fleet has no voters: nothing is agreed");
+        }
         let rules = self.rules.settings(self.members.len())?;
         let zone = me.zone.as_str().into();
         let member = |member: MemberFile| FleetMember {
@@ -183,6 +218,7 @@
             store: self.store,
             round: self.round.0,
             rules,
+            configuration: self.configuration.map(|file| file.store),
         })
     }
 }
--- a/crates/lemoncleat-service/src/service.rs
+++ b/crates/lemoncleat-service/src/service.rs
@@ -56,6 +56,8 @@
     pub rules: Rules,
     /// What it shares with other nodes; `None` for a node on its own.
     pub fleet: Option<crate::FleetSettings>,
+    /// The text of the settings file, with which a configuration that the fleet agrees on is read.
+    pub text: Arc<str>,
 }
 
 /// Where a node's certificate comes from.
