Access node: clients can be held until what is in force is decided

Need: a node that starts must not take calls under its file while the newest version is on its way to it.

Input::HoldClients leaves the capabilities of clients unanswered, before which none may send a call, and answers them once it is over, under the settings then in force; members and servers are not held. A held first message has at most 4 KiB, one a connection. Refusing the connection instead would cost clients their wait for the next dial, and taking calls late could miss a short deadline.

--- a/crates/lemoncleat-node/src/node/configure.rs
+++ b/crates/lemoncleat-node/src/node/configure.rs
@@ -9,6 +9,8 @@
 
 /// Most peers that a node knows in its life: clients and servers that went keep their number.
 const MOST_PEERS: usize = 65_536;
+/// The longest first message that is kept while clients are held, in bytes.
+const MOST_HELD: usize = 4 * 1024;
 /// How soon it is looked again whether calls of a class that went are pending.
 const LOOK_AGAIN: Micros = 100_000;
 
@@ -139,6 +141,40 @@
         self.peers.get(id.0 as usize).is_some_and(|slot| slot.leaving && slot.calls == 0)
     }
 
+    /// Clients wait for the answer to their capabilities, before which they send no call; or they get it now.
+    pub(super) fn hold_clients(&mut self, hold: bool) {
+        if hold {
+            self.held.get_or_insert_default();
+            return;
+        }
+        for (conn, bytes) in self.held.take().unwrap_or_default() {
+            match MessageRef::parse(&bytes) {
+                Ok(message) if self.conns.contains_key(&conn) => self.first_message(conn, &message),
+                _ => {}
+            }
+        }
+    }
+
+    pub(super) fn is_held(&self, conn: ConnId) -> bool {
+        self.held.as_ref().is_some_and(|held| held.contains_key(&conn))
+    }
+
+    /// Keeps the first message of a client for later, if clients are held. What is kept is bounded: whoever says more
+    /// before he is answered, or more than capabilities take, is hung up on.
+    pub(super) fn hold(&mut self, conn: ConnId, message: &MessageRef<'_>) -> bool {
+        if self.is_held(conn) || self.held.is_some() && message.bytes.len() > MOST_HELD {
+            self.notice(Notice::NoCapabilities(conn));
+            self.close(conn);
+            return true;
+        }
+        let Some(held) = &mut self.held else { return false };
+        if held.len() >= self.conns.len() {
+            held.retain(|conn, _| self.conns.contains_key(conn));
+        }
+        held.insert(conn, message.bytes.to_vec());
+        true
+    }
+
     /// The decision module as it stands, for whoever wants to keep or compare its state.
     pub fn module(&self) -> &Controller {
         &self.controller
--- a/crates/lemoncleat-node/src/node/mod.rs
+++ b/crates/lemoncleat-node/src/node/mod.rs
@@ -13,7 +13,7 @@
 pub use members::WORD_MOST;
 pub use trunks::{CircuitOrder, CircuitStatus, GroupStatus};
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -86,6 +86,9 @@
     /// Refuse new calls of clients from now on, with this time to come back; or take them again. Standing calls
     /// and set-ups under way live on.
     Fence(Option<Micros>),
+    /// Leave clients waiting for the answer to their capabilities from now on, since what is in force is not decided
+    /// yet; or answer them. Connections that stand are left as they are.
+    HoldClients(bool),
     /// Stop in order.
     Stop,
 }
@@ -257,6 +260,8 @@
     standing: usize,
     /// New calls are refused, with this time to come back.
     fence: Option<Micros>,
+    /// The first messages of clients that wait, while they are held.
+    held: Option<BTreeMap<ConnId, Vec<u8>>>,
     stopping: bool,
     stopped: bool,
     stats: Stats,
@@ -308,6 +313,7 @@
             actions: Vec::new(),
             standing: 0,
             fence: None,
+            held: None,
             stopping: false,
             stopped: false,
             stats: Stats::default(),
@@ -384,6 +390,7 @@
             Input::Word(member, bytes) => self.word(member, bytes),
             Input::Members(members) => self.change_members(members),
             Input::Fence(come_back) => self.fence = come_back,
+            Input::HoldClients(hold) => self.hold_clients(hold),
             Input::Stop => self.stop(),
         }
         self.settle();
@@ -456,7 +463,9 @@
                 }
             }
             Timer::Unidentified(conn) => {
-                if self.conns.get(&conn).is_some_and(|conn| conn.owner.is_none()) {
+                if self.is_held(conn) {
+                    self.wheel.set(self.now + self.settings.timing.open, Timer::Unidentified(conn));
+                } else if self.conns.get(&conn).is_some_and(|conn| conn.owner.is_none()) {
                     self.notice(Notice::NoCapabilities(conn));
                     self.close(conn);
                 }
--- a/crates/lemoncleat-node/src/node/peers.rs
+++ b/crates/lemoncleat-node/src/node/peers.rs
@@ -126,6 +126,9 @@
             self.send(conn, answer);
             return self.close(conn);
         };
+        if self.peers[peer.0 as usize].role == Role::Client && self.hold(conn, message) {
+            return;
+        }
         if let Some(state) = self.conns.get_mut(&conn) {
             state.owner = Some(peer);
             let unowned = std::mem::take(&mut state.unowned);
--- a/crates/lemoncleat-node/tests/configure.rs
+++ b/crates/lemoncleat-node/tests/configure.rs
@@ -281,3 +281,49 @@
     let answers = bench.answer_watchdogs(client);
     assert!(answers.iter().any(|got| got.name() == "AAA" && got.result() == code::SUCCESS));
 }
+
+#[test]
+fn clients_that_are_held_are_answered_under_what_came_in_force_meanwhile() {
+    let mut bench = Bench::new(settings());
+    bench.input(Input::HoldClients(true));
+    let server = bench.server("a.example");
+    let (front, other) = (bench.conn(), bench.conn());
+    for (conn, host) in [(front, "front.example"), (other, "other.example")] {
+        bench.input(Input::Accepted(conn));
+        let cer = bench.cer(host, 1);
+        bench.bytes(conn, &cer);
+    }
+    for _ in 0..10 {
+        bench.pass(SECOND / 2);
+        bench.answer_watchdogs(server);
+    }
+    assert!(
+        bench.take(front).is_empty() && bench.closed.is_empty(),
+        "they wait, beyond the time for a CER too"
+    );
+    let mut new = settings();
+    new.clients.pop();
+    new.plan = plan(&[("44", 1)]);
+    configure(&mut bench, new).expect("good settings");
+    bench.input(Input::HoldClients(false));
+    assert_eq!(bench.one(front, "CEA").result(), code::SUCCESS);
+    assert_eq!(bench.one(other, "CEA").result(), code::UNKNOWN_PEER, "named no more");
+    call_to(&mut bench, front, "front.example", "s;1", "4499");
+    assert_eq!(bench.one(server, "AAR").session(), "s;1", "by the new plan");
+    bench.client("front.example");
+}
+
+#[test]
+fn a_client_that_is_held_and_says_more_is_hung_up_on() {
+    let mut bench = Bench::new(settings());
+    bench.input(Input::HoldClients(true));
+    let conn = bench.conn();
+    bench.input(Input::Accepted(conn));
+    for _ in 0..2 {
+        let cer = bench.cer("front.example", 1);
+        bench.bytes(conn, &cer);
+    }
+    assert_eq!(bench.closed, [conn]);
+    bench.input(Input::HoldClients(false));
+    assert!(bench.take(conn).is_empty());
+}
