Capacity page: slopes fitted, the largest predicted, held against budgets by a test

Nothing said what a node spends at the operators' size and what carries it. docs/CAPACITY.md has the readings of the size, tables by role, call, members, agreement and events, what breaks first, and what one machine can't prove. Its derived tables are worked out from docs/capacity/slopes.json (and scale.json once there) by lemoncleat-lab, compared cell by cell by a test that also refuses damaged files; a cell, an explanation and a torn file altered by hand each failed it. Also the unit of one series of the call's bench.

--- a/crates/lemoncleat-lab/src/lib.rs
+++ b/crates/lemoncleat-lab/src/lib.rs
@@ -11,6 +11,7 @@
 mod agree;
 mod bench_day;
 mod caller;
+pub mod capacity;
 mod capture;
 mod credentials;
 mod day;
--- a/crates/lemoncleat-node/benches/size.rs
+++ b/crates/lemoncleat-node/benches/size.rs
@@ -337,7 +337,8 @@
         let series = found.into_iter().map(|(name, measured)| {
             println!("{what} {name} {sizes:?} {measured:.1?}");
             let name = format!("call-{what}-{name}");
-            Series { name, unit: "us", size, sizes: sizes.clone(), measured }
+            let unit = if name.ends_with("processor") { "us/s" } else { "us" };
+            Series { name, unit, size, sizes: sizes.clone(), measured }
         });
         let mode = what.split('-').next().unwrap_or(what);
         let command = format!("cargo bench -p lemoncleat-node --bench size -- {mode}");
