A chain of services can be played, its last one failing for a while

Need: a call runs up to 29 services deep; whether repeats at each level multiply and how much time is left at the bottom was argued, not played.

`lemoncleat simulate chain` plays real controllers before simulated servers under one virtual clock: a server that takes a set-up makes a call to the level below through a controller of its own. Attempts by level, time left on arrival, calls set up in time and the last level's load by second are counted, by settings of attempts and with remedies as stand-ins in the play. No product package changes.

--- a/crates/lemoncleat-cli/src/args.rs
+++ b/crates/lemoncleat-cli/src/args.rs
@@ -103,7 +103,10 @@
 }
 
 #[derive(ClapArgs)]
+#[command(args_conflicts_with_subcommands = true)]
 pub struct SimulateArgs {
+    #[command(subcommand)]
+    pub command: Option<SimulateCommand>,
     /// Seeds to play, as FIRST..END (END is not played).
     #[arg(long, default_value = "0..1000", value_parser = seeds, conflicts_with = "seed")]
     pub seeds: (u64, u64),
@@ -130,6 +133,72 @@
     pub nodes: u32,
 }
 
+#[derive(Subcommand)]
+pub enum SimulateCommand {
+    /// Play a chain of services whose last one fails for a while, by settings of attempts.
+    Chain(ChainArgs),
+}
+
+#[derive(ClapArgs)]
+pub struct ChainArgs {
+    /// Services, one below the other.
+    #[arg(long, default_value_t = 29, value_parser = clap::value_parser!(u32).range(1..=64))]
+    pub depth: u32,
+    /// Share that fails at the last, 0 to 1, or as a fraction (1/3).
+    #[arg(long, default_value = "1", value_parser = share)]
+    pub fails: f64,
+    /// How it fails.
+    #[arg(long, value_enum, default_value_t = FailingArg::Error)]
+    pub how: FailingArg,
+    /// What fails.
+    #[arg(long, value_enum, default_value_t = PartArg::Servers)]
+    pub part: PartArg,
+    /// Seeds to play, as FIRST..END (END is not played).
+    #[arg(long, default_value = "0..2", value_parser = seeds)]
+    pub seeds: (u64, u64),
+    /// Settings to play, by name; all by default.
+    #[arg(long = "variant", value_name = "NAME")]
+    pub variants: Vec<String>,
+    /// Threads; by default as many as there are processors.
+    #[arg(long)]
+    pub jobs: Option<usize>,
+    /// Write the figures as JSON.
+    #[arg(long, value_name = "FILE")]
+    pub json: Option<PathBuf>,
+}
+
+#[derive(Clone, Copy, Debug, clap::ValueEnum)]
+pub enum FailingArg {
+    /// Worked on and answered with an error.
+    Error,
+    /// Worked on and never answered.
+    Silence,
+    /// Refused at once.
+    Refusal,
+}
+
+#[derive(Clone, Copy, Debug, clap::ValueEnum)]
+pub enum PartArg {
+    /// Some servers, with all their set-ups.
+    Servers,
+    /// Set-ups by chance, at every server.
+    SetUps,
+}
+
+/// A share, as a number or a fraction.
+fn share(text: &str) -> Result<f64, String> {
+    let number = |text: &str| text.parse::<f64>().map_err(|_| format!("{text:?} is no number"));
+    let share = match text.split_once('/') {
+        Some((part, whole)) => number(part)? / number(whole)?,
+        None => number(text)?,
+    };
+    if (0.0..=1.0).contains(&share) {
+        Ok(share)
+    } else {
+        Err("expected a share from 0 to 1".to_owned())
+    }
+}
+
 /// Two numbers with `..` between.
 fn seeds(text: &str) -> Result<(u64, u64), String> {
     let (first, end) = text.split_once("..").ok_or("expected FIRST..END")?;
--- a/crates/lemoncleat-cli/src/main.rs
+++ b/crates/lemoncleat-cli/src/main.rs
@@ -3,6 +3,7 @@
 mod access;
 mod args;
 mod cert;
+mod chain;
 mod circuits;
 mod control;
 mod fleet;
--- a/crates/lemoncleat-cli/src/simulate.rs
+++ b/crates/lemoncleat-cli/src/simulate.rs
@@ -10,7 +10,7 @@
 use lemoncleat_simulate::fleet;
 use lemoncleat_simulate::{shrink, simulate, Finding, Outcome, Scenario};
 
-use crate::args::SimulateArgs;
+use crate::args::{SimulateArgs, SimulateCommand};
 use crate::Failure;
 
 /// Most runs that shrinking takes.
@@ -21,6 +21,9 @@
 const BEFORE: usize = 60;
 
 pub fn run(args: &SimulateArgs) -> Result<(), Failure> {
+    if let Some(SimulateCommand::Chain(args)) = &args.command {
+        return crate::chain::run(args);
+    }
     match args.seed {
         Some(seed) if args.fleet => one_fleet(seed, args),
         None if args.fleet => many_fleets(args),
--- a/crates/lemoncleat-simulate/src/lib.rs
+++ b/crates/lemoncleat-simulate/src/lib.rs
@@ -3,6 +3,7 @@
 //! traffic and faults; every record is judged as it comes, and a run stops at the step at which a rule is first
 //! broken. The same seed gives the same run, to the byte.
 
+pub mod chain;
 mod fabric;
 pub mod fleet;
 mod node;
