--- a/crates/lemoncleat-simulate/benches/hop.rs
+++ b/crates/lemoncleat-simulate/benches/hop.rs
@@ -1,5 +1,6 @@
-//! What one hop adds in the node's core and its module, without sockets: both turns of a set-up that stands (request
-//! to attempt, answer to answer), calls paced in real time, 11 servers. From it the sum over 29 hops. Prints JSON.
+//! What one hop adds in the node's core and its module, without sockets: both turns of a set-up that stands
+//! (request to attempt, answer to answer), calls paced in real time, 11 servers. From it the sum over 29
+//! hops. Prints JSON.
 
 use std::time::{Duration, Instant};
 
--- a/crates/lemoncleat-simulate/src/chain.rs
+++ b/crates/lemoncleat-simulate/src/chain.rs
@@ -1,7 +1,8 @@
-//! A chain of services under the virtual clock: each server of a level, on taking a set-up, makes a call to the level
-//! below through a node of its own, and answers by what came back. The nodes' decisions are the real
-//! [`Controller`](lemoncleat::Controller) with its own events and actions; sockets, messages and the fronts around it
-//! are left out, and servers are simulated. At the last level a share of servers or of set-ups fails for a while.
+//! A chain of services under the virtual clock: each server of a level, on taking a set-up, makes a call to
+//! the level below through a node of its own, and answers by what came back. The nodes' decisions are the
+//! real [`Controller`](lemoncleat::Controller) with its own events and actions; sockets, messages and the
+//! fronts around it are left out, and servers are simulated. At the last level a share of servers or of
+//! set-ups fails for a while.
 
 mod run;
 mod tail;
@@ -45,8 +46,9 @@
     Error,
     /// A refusal: its processor is full.
     Refusal,
-    /// An error marked as tried already by the level below; the node above repeats nothing and blames nobody. A
-    /// stand-in: told to the controller as "every line of the number is busy", the one reason that it takes as final.
+    /// An error marked as tried already by the level below; the node above repeats nothing and blames nobody.
+    /// A stand-in: told to the controller as "every line of the number is busy", the one reason that it takes
+    /// as final.
     Tried,
 }
 
@@ -61,7 +63,8 @@
     pub handed_down: bool,
     /// What a failure from below becomes.
     pub upward: Upward,
-    /// Repeats that a node may send as a share of its first attempts; a stand-in in the host of the controller.
+    /// Repeats that a node may send as a share of its first attempts; a stand-in in the host of the
+    /// controller.
     pub budget: Option<f64>,
 }
 
@@ -147,7 +150,8 @@
     }
 }
 
-/// Time left until the deadline of the caller who entered, on arrival at a server of a level; in milliseconds.
+/// Time left until the deadline of the caller who entered, on arrival at a server of a level; in
+/// milliseconds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
 pub struct Left {
     /// Half of the set-ups had at least this.
@@ -194,8 +198,8 @@
     pub digest: u64,
     /// Events carried out.
     pub steps: u64,
-    /// The first law that was broken: one answer to each call by its deadline, no attempt after the deadline handed
-    /// down.
+    /// The first law that was broken: one answer to each call by its deadline, no attempt after the deadline
+    /// handed down.
     pub broken: Option<String>,
     /// Calls that entered before, while and after the last level failed.
     pub spans: [Span; 3],
@@ -207,7 +211,8 @@
     pub bottom_most: u64,
     /// Set-ups a second that the last level can take.
     pub bottom_capacity: f64,
-    /// Seconds from the end of the failing until load and answers were as before and stayed so; none if never.
+    /// Seconds from the end of the failing until load and answers were as before and stayed so; none if
+    /// never.
     pub at_rest: Option<f64>,
 }
 
--- a/crates/lemoncleat-simulate/src/chain/tail.rs
+++ b/crates/lemoncleat-simulate/src/chain/tail.rs
@@ -51,8 +51,9 @@
     Quantiles { mean: mean * unit, p50: at(0.5), p99: at(0.99), p999: at(0.999) }
 }
 
-/// The sum over so many hops, from counts by value in nanoseconds, against a target in microseconds. Values are rounded up to whole bins of `bin`
-/// nanoseconds, so that sums are never told too small; a sum is too large by a bin for each hop at most.
+/// The sum over so many hops, from counts by value in nanoseconds, against a target in microseconds. Values
+/// are rounded up to whole bins of `bin` nanoseconds, so that sums are never told too small; a sum is too
+/// large by a bin for each hop at most.
 pub fn sum(hop: &[(u64, u64)], hops: u32, bin: u64, target: f64) -> Sum {
     let bin = bin.max(1);
     let mut bins = std::collections::BTreeMap::new();
