A node's part carries the configuration of the whole fleet

The mechanism needs the agreed log and the fleet's words. The longest command is what the agreement allows. Followers of such a fleet pull from voters only while an operator waits for a mark or asked for marks.

--- a/crates/lemoncleat-agreement/src/follower.rs
+++ b/crates/lemoncleat-agreement/src/follower.rs
@@ -13,6 +13,8 @@
     asked: usize,
     after: u64,
     wake: Micros,
+    /// Asks no more after this; none: always.
+    until: Option<Micros>,
 }
 
 impl Follower {
@@ -20,7 +22,7 @@
     pub fn new(own: u64, voters: &[u64], timing: Timing, seed: u64) -> Follower {
         let voters: Vec<u64> = voters.iter().copied().filter(|voter| *voter != own).collect();
         let asked = SmallRng::seed_from_u64(seed).random_range(0..voters.len().max(1));
-        Follower { voters, timing, asked, after: 0, wake: 0 }
+        Follower { voters, timing, asked, after: 0, wake: 0, until: None }
     }
 
     /// The last index that it learned of.
@@ -30,7 +32,13 @@
 
     /// When it wants [`Input::Timeout`].
     pub fn wake(&self) -> Option<Micros> {
-        Some(self.wake)
+        Some(self.wake).filter(|wake| self.until.is_none_or(|until| *wake < until))
+    }
+
+    /// Asks the voters only before this moment, from the next [`Input::Timeout`] on; without it, always. What was
+    /// decided meanwhile is learned when it asks again.
+    pub fn learn_until(&mut self, until: Micros) {
+        self.until = Some(until);
     }
 
     /// Takes [`Input::Heard`] and [`Input::Timeout`]; the others mean nothing to it.
@@ -42,7 +50,7 @@
                 }
             }
             // No answer, or nothing new for a while: another is asked.
-            Input::Timeout if now >= self.wake => {
+            Input::Timeout if now >= self.wake && self.until.is_none_or(|until| now < until) => {
                 self.asked = (self.asked + 1) % self.voters.len().max(1);
                 self.pull(now, out);
             }
--- a/crates/lemoncleat-commons/src/lib.rs
+++ b/crates/lemoncleat-commons/src/lib.rs
@@ -3,6 +3,7 @@
 //! A [`Part`] joins the cores of `lemoncleat-fleet` and `lemoncleat-agreement` to one carrier of words between
 //! members, and says what a driver is to do. Nothing in it touches a call; a node without a fleet has none of it.
 
+mod configuration;
 mod members;
 mod part;
 mod pieces;
@@ -10,6 +11,7 @@
 mod seat;
 mod state;
 
+pub use lemoncleat_configuration::Calls;
 pub use part::{Figures, Part, Said, Settings};
 pub use rules::RulesCheck;
 pub use seat::Seat;
--- a/crates/lemoncleat-commons/src/members.rs
+++ b/crates/lemoncleat-commons/src/members.rs
@@ -51,7 +51,7 @@
         let names: Names =
             Arc::new(members.iter().map(|it| (MemberId::of(&it.name), it.name.clone())).collect());
         // A last word for those that went still finds their places.
-        self.fleet.handle(now, Input::Members(members), &mut self.outputs);
+        self.fleet.handle(now, Input::Members(members.clone()), &mut self.outputs);
         self.settle(now, said);
         self.places.retain(|id, _| listed.contains(id));
         for id in self.names.keys().filter(|id| !listed.contains(*id)) {
@@ -65,7 +65,11 @@
         if let Some(agreed) = &mut self.agreed {
             agreed.rename(names.clone());
         }
+        if let Some(configuration) = &mut self.configuration {
+            configuration.set_members(now, &members, names.clone());
+        }
         self.names = names;
+        self.settle(now, said);
     }
 
     /// Where a member has its place, if it is one under this very name.
--- a/crates/lemoncleat-commons/src/part.rs
+++ b/crates/lemoncleat-commons/src/part.rs
@@ -4,11 +4,13 @@
 use std::sync::Arc;
 
 use lemoncleat_agreement::Batch;
+use lemoncleat_configuration::{self as configured, Calls};
 use lemoncleat_consistency::{self as consistency, Decider};
 use lemoncleat_fleet::{Carrier, Fleet, Input, Kind, Member, MemberId, Notice, Output, State, Timing};
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
 
+use crate::configuration::Configuration;
 use crate::pieces::{Errand, Pieces};
 use crate::rules::{RulesCheck, Watch};
 use crate::seat::{Agreed, Ask, Seat};
@@ -47,6 +49,8 @@
     pub voters: Vec<Arc<str>>,
     /// The length of a round of the fleet, in microseconds; all its patience follows from it.
     pub round: Micros,
+    /// Whether one configuration is agreed for all.
+    pub configuration: bool,
 }
 
 /// The members' names.
@@ -73,6 +77,18 @@
     Fence(Option<Micros>),
     /// For the log: whether it is bad news, and what.
     Log(bool, String),
+    /// Put this version of the configuration in force, whole or not at all, and tell [`Part::configured`]. Number 0
+    /// and no text: what the node's file says.
+    Configure {
+        /// Its number.
+        number: u64,
+        /// Its text.
+        text: String,
+    },
+    /// Keep these bytes in place of those before, durably, and tell [`Part::kept`].
+    Keep(Vec<u8>),
+    /// What is in force at the start is decided: calls may be taken.
+    Settled,
 }
 
 /// A node's part in its fleet.
@@ -86,6 +102,7 @@
     pub(crate) pieces: Pieces,
     pub(crate) agreed: Option<Agreed>,
     watch: Option<Watch>,
+    pub(crate) configuration: Option<Configuration>,
     start: u32,
     /// The figures told last, and when they are told again though they are the same.
     told: Option<(Figures, Micros)>,
@@ -118,8 +135,13 @@
         let tick = (settings.round / 4).max(LEAST_TICK);
         let known = settings.members.iter().map(|member| member.name.clone());
         let names: Names = Arc::new(ids.iter().copied().zip(known).collect());
-        let agreed =
+        let mut agreed =
             (!voters.is_empty()).then(|| Agreed::new(names.clone(), fleet.own(), voters, seat, tick, seed));
+        let configuration =
+            settings.configuration.then(|| Configuration::new(settings, names.clone(), start, seed));
+        if let (Some(agreed), Some(_)) = (&mut agreed, &configuration) {
+            agreed.learn_on_demand();
+        }
         let mut asks = Vec::new();
         if let Some(why) = agreed.as_ref().and_then(Agreed::broken) {
             asks.push(Ask::Log(true, format!("this voter does not vote, its store can't be used: {why}")));
@@ -132,6 +154,7 @@
             pieces: Pieces::default(),
             agreed,
             watch: None,
+            configuration,
             start,
             told: None,
             tell_at: 0,
@@ -175,7 +198,15 @@
     pub fn wake(&self) -> Option<Micros> {
         let agreed = self.agreed.as_ref().and_then(Agreed::wake);
         let watch = self.watch.as_ref().and_then(Watch::wake);
-        self.fleet.wake().into_iter().chain(agreed).chain(watch).chain([self.tell_at]).min()
+        let configuration = self.configuration.as_ref().and_then(Configuration::wake);
+        self.fleet
+            .wake()
+            .into_iter()
+            .chain(agreed)
+            .chain(watch)
+            .chain(configuration)
+            .chain([self.tell_at])
+            .min()
     }
 
     /// Time has passed, and this is what the node has done so far.
@@ -194,6 +225,9 @@
         if let Some(agreed) = &mut self.agreed {
             agreed.timeout(now, &mut self.asks);
         }
+        if let Some(configuration) = &mut self.configuration {
+            configuration.handle(now, configured::Input::Calls(configuration.calls));
+        }
         if self.watch.as_ref().and_then(Watch::wake).is_some_and(|wake| wake <= now) {
             self.tell_watch(now, consistency::Input::Timeout);
         }
@@ -208,6 +242,10 @@
         }
         let input = if linked { Input::Linked(id) } else { Input::Unlinked(id) };
         self.fleet.handle(now, input, &mut self.outputs);
+        if let Some(configuration) = &mut self.configuration {
+            use configured::Input::{Linked, Unlinked};
+            configuration.handle(now, if linked { Linked(id.0) } else { Unlinked(id.0) });
+        }
         self.settle(now, said);
     }
 
@@ -227,7 +265,12 @@
     }
 
     pub(crate) fn settle(&mut self, now: Micros, said: &mut Vec<Said>) {
-        while !self.outputs.is_empty() || !self.asks.is_empty() || !self.judged.is_empty() {
+        self.tell_agreed(now);
+        while !self.outputs.is_empty()
+            || !self.asks.is_empty()
+            || !self.judged.is_empty()
+            || self.configuration.as_ref().is_some_and(|own| !own.outputs.is_empty())
+        {
             for output in std::mem::take(&mut self.outputs) {
                 self.output(now, output, said);
             }
@@ -237,9 +280,59 @@
             for judged in std::mem::take(&mut self.judged) {
                 self.judge(now, judged, said);
             }
+            let outputs = self.configuration.as_mut().map(|own| std::mem::take(&mut own.outputs));
+            for output in outputs.into_iter().flatten() {
+                self.distribute(now, output, said);
+            }
+            self.tell_agreed(now);
+        }
+    }
+
+    /// Tells the configuration what became of its commands.
+    fn tell_agreed(&mut self, now: Micros) {
+        if let (Some(configuration), Some(agreed)) = (&mut self.configuration, &mut self.agreed) {
+            let (ledger, leading) = agreed.ledger();
+            configuration.agreed(now, ledger, leading);
+        }
+    }
+
+    /// Carries out what the configuration says.
+    fn distribute(&mut self, now: Micros, output: configured::Output, said: &mut Vec<Said>) {
+        let Some(configuration) = &self.configuration else { return };
+        match output {
+            configured::Output::Tell { to, bytes } => {
+                self.asks.push(Ask::Say(MemberId(to), Errand::Configuration(bytes)));
+            }
+            configured::Output::Try { number, text } => said.push(Said::Configure { number, text }),
+            configured::Output::Keep(bytes) => said.push(Said::Keep(bytes)),
+            configured::Output::Settled => said.push(Said::Settled),
+            configured::Output::Propose(command) => {
+                if let Some(agreed) = &mut self.agreed {
+                    agreed.command(now, command, &mut self.asks);
+                }
+            }
+            configured::Output::Answer { conn, answer } => {
+                said.push(Said::Answer(conn, configuration.answer(answer)));
+            }
+            configured::Output::Notice(notice) => {
+                let (bad, text) = configuration.told(&notice);
+                said.push(Said::Log(bad, text));
+            }
         }
     }
 
+    fn tell_configuration(
+        &mut self,
+        now: Micros,
+        input: configured::Input<'_>,
+        said: &mut Vec<Said>,
+    ) -> bool {
+        let Some(configuration) = &mut self.configuration else { return false };
+        configuration.handle(now, input);
+        self.settle(now, said);
+        true
+    }
+
     fn tell_watch(&mut self, now: Micros, input: consistency::Input) {
         if let Some(watch) = &mut self.watch {
             // One that is only suspected may well decide.
@@ -276,6 +369,12 @@
             Output::Part(id) => said.extend(place(id).map(Said::Part)),
             Output::Direct { from, bytes } => {
                 match (self.pieces.join(from, &bytes), &mut self.agreed, &mut self.watch) {
+                    (Some(Errand::Configuration(bytes)), ..) => {
+                        if let Some(configuration) = &mut self.configuration {
+                            let input = configured::Input::Heard { from: from.0, bytes: &bytes };
+                            configuration.handle(now, input);
+                        }
+                    }
                     (Some(Errand::Rules(bytes)), _, Some(watch)) => watch.direct(from, bytes),
                     (Some(errand), Some(agreed), _) => agreed.errand(now, from, errand, &mut self.asks),
                     _ => {}
@@ -400,11 +499,68 @@
         true
     }
 
+    /// Other rules are in force at this node from now on: what it tells and checks follows.
+    pub fn rules(&mut self, now: Micros, rules: consistency::Rules, said: &mut Vec<Said>) {
+        self.tell_watch(now, consistency::Input::Rules(rules));
+        self.settle(now, said);
+    }
+
+    /// What the disk held of the configuration at the start (none: nothing), or why it can't be read. Once, before the
+    /// first turn.
+    pub fn found(&mut self, now: Micros, kept: Result<Option<Vec<u8>>, String>, said: &mut Vec<Said>) {
+        self.tell_configuration(now, configured::Input::Found(kept), said);
+    }
+
+    /// What became of [`Said::Configure`].
+    pub fn configured(&mut self, now: Micros, number: u64, result: Result<(), String>, said: &mut Vec<Said>) {
+        self.tell_configuration(now, configured::Input::Configured { number, result }, said);
+    }
+
+    /// What became of [`Said::Keep`].
+    pub fn kept(&mut self, now: Micros, result: Result<(), String>, said: &mut Vec<Said>) {
+        self.tell_configuration(now, configured::Input::Kept(result), said);
+    }
+
+    /// The node's calls since its start, cumulative; to be told before [`Part::timeout`].
+    pub fn calls(&mut self, calls: Calls) {
+        if let Some(configuration) = &mut self.configuration {
+            configuration.calls = calls;
+        }
+    }
+
+    /// An operator's change, its text checked by the driver. Answered by [`Said::Answer`] within 10 s. False where there
+    /// is no configuration.
+    pub fn configure(
+        &mut self,
+        now: Micros,
+        conn: u64,
+        order: &str,
+        parent: u64,
+        text: &str,
+        said: &mut Vec<Said>,
+    ) -> bool {
+        self.tell_configuration(now, configured::Input::Change { conn, order, parent, text }, said)
+    }
+
+    /// This node's own state of the configuration; none where there is none.
+    pub fn configuration(&self, now: Micros) -> Option<Value> {
+        Some(self.configuration.as_ref()?.status(now))
+    }
+
+    /// Asks the fleet who has what in force. Answered by [`Said::Answer`] within 3 s. False where there is no
+    /// configuration.
+    pub fn configurations(&mut self, now: Micros, conn: u64, said: &mut Vec<Said>) -> bool {
+        self.tell_configuration(now, configured::Input::Query { conn }, said)
+    }
+
     /// The operator's connection is gone.
     pub fn operator_left(&mut self, conn: u64) {
         if let Some(agreed) = &mut self.agreed {
             agreed.operator_left(conn);
         }
+        if let Some(configuration) = &mut self.configuration {
+            configuration.operator_left(conn);
+        }
     }
 }
 
--- a/crates/lemoncleat-commons/src/pieces.rs
+++ b/crates/lemoncleat-commons/src/pieces.rs
@@ -22,6 +22,8 @@
     Piece { errand: u32, part: u16, of: u16, bytes: Vec<u8> },
     /// Between the checkers of the members' rules.
     Rules(Vec<u8>),
+    /// Between the distributors of the configuration.
+    Configuration(Vec<u8>),
 }
 
 /// Takes errands apart and puts them together.
--- a/crates/lemoncleat-commons/src/seat.rs
+++ b/crates/lemoncleat-commons/src/seat.rs
@@ -1,10 +1,12 @@
 //! The node's seat in the agreement: a voter with its store, or a follower; and the state that the log makes.
 
+use std::cell::Cell;
 use std::collections::BTreeMap;
 
 use lemoncleat_agreement::{
     Batch, Follower, Found, Input, Notice, Output, Settings, Timing, Voter, MAX_COMMAND,
 };
+use lemoncleat_configuration::Ledger;
 use lemoncleat_fleet::MemberId;
 use serde_json::{json, Value};
 
@@ -71,6 +73,11 @@
     asked: usize,
     retry: Micros,
     leader: Option<u64>,
+    /// The ledger of the configuration changed since it was looked at.
+    ledger_changed: bool,
+    /// Marks were asked for since the last turn.
+    marks_asked: Cell<bool>,
+    on_demand: bool,
 }
 
 /// Voters' numbers are the members' and never 0.
@@ -98,7 +105,7 @@
             own: number(own),
             voters: numbers.clone(),
             timing,
-            max_command: MAX_COMMAND / 4,
+            max_command: MAX_COMMAND,
             snapshot_every: SNAPSHOT_EVERY,
         };
         let sat = match seat {
@@ -126,6 +133,9 @@
             asked: 0,
             retry: tick.saturating_mul(20),
             leader: None,
+            ledger_changed: true,
+            marks_asked: Cell::new(false),
+            on_demand: false,
         }
     }
 
@@ -165,7 +175,7 @@
                     self.input(now, Input::Propose { token: 0, command }, out);
                 }
             }
-            Errand::Piece { .. } | Errand::Rules(_) => {}
+            Errand::Piece { .. } | Errand::Rules(_) | Errand::Configuration(_) => {}
         }
     }
 
@@ -180,6 +190,9 @@
 
     /// Time has passed.
     pub(crate) fn timeout(&mut self, now: Micros, out: &mut Vec<Ask>) {
+        if self.marks_asked.take() {
+            self.learn(now);
+        }
         let due = match &self.core {
             Core::Voter(voter) => voter.wake(),
             Core::Follower(follower) => follower.wake(),
@@ -217,6 +230,7 @@
         if let Some(index) = self.state.place(order) {
             return out.push(Ask::Answer(conn, json!({"ok": true, "order": order, "index": index})));
         }
+        self.learn(now);
         let command = Command::Mark { order: order.to_owned(), text: text.to_owned() }.to_bytes();
         self.next += 1;
         let wish = Wish { order: order.to_owned(), command, conn, until: now + PATIENCE, again: now };
@@ -229,10 +243,41 @@
         self.wishes.retain(|_, wish| wish.conn != conn);
     }
 
+    /// A follower of a fleet with a configuration learns only while an operator asks.
+    pub(crate) fn learn_on_demand(&mut self) {
+        if let Core::Follower(follower) = &mut self.core {
+            follower.learn_until(0);
+        }
+        self.on_demand = true;
+    }
+
+    fn learn(&mut self, now: Micros) {
+        if let (Core::Follower(follower), true) = (&mut self.core, self.on_demand) {
+            follower.learn_until(now + PATIENCE);
+        }
+    }
+
+    /// Proposes a command of the configuration; whoever wants it says it again while nothing comes of it.
+    pub(crate) fn command(&mut self, now: Micros, command: Vec<u8>, out: &mut Vec<Ask>) {
+        let command = Command::Configuration(command).to_bytes();
+        self.hand_on(now, 0, command, out);
+    }
+
+    /// At a voter: the configuration's ledger if it changed, and whether this node leads.
+    pub(crate) fn ledger(&mut self) -> (Option<&Ledger>, bool) {
+        let voter = matches!(self.core, Core::Voter(..));
+        let changed = voter && std::mem::take(&mut self.ledger_changed);
+        (changed.then(|| self.state.ledger()), voter && self.leader == Some(number(self.own)))
+    }
+
     fn propose(&mut self, now: Micros, token: u64, out: &mut Vec<Ask>) {
         let Some(wish) = self.wishes.get_mut(&token) else { return };
         wish.again = now + self.retry;
         let command = wish.command.clone();
+        self.hand_on(now, token, command, out);
+    }
+
+    fn hand_on(&mut self, now: Micros, token: u64, command: Vec<u8>, out: &mut Vec<Ask>) {
         if matches!(&self.core, Core::Voter(voter) if voter.is_voting() && voter.leader().is_some()) {
             return self.input(now, Input::Propose { token, command }, out);
         }
@@ -265,10 +310,14 @@
             }
             Output::Store(batch) => out.push(Ask::Store(batch)),
             Output::Decided { index, command } => {
+                let before = self.state.ledger().verdicts();
                 self.state.apply(index, &command);
+                let ledger = self.state.ledger();
+                self.ledger_changed |= ledger.announcement().step == index || ledger.verdicts() != before;
                 self.fulfil(out);
             }
             Output::Restore { index, bytes } => {
+                self.ledger_changed = true;
                 if !self.state.restore(&bytes) {
                     out.push(Ask::Log(true, format!("the agreed state up to {index} can't be read")));
                 }
@@ -327,6 +376,7 @@
 
     /// The marks after an entry.
     pub(crate) fn marks(&self, after: u64) -> Value {
+        self.marks_asked.set(true);
         let marks = self.state.marks(after);
         let marks: Vec<Value> =
             marks.map(|mark| json!({"index": mark.index, "order": mark.order, "text": mark.text})).collect();
--- a/crates/lemoncleat-commons/src/state.rs
+++ b/crates/lemoncleat-commons/src/state.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
+use lemoncleat_configuration::Ledger;
 use serde::{Deserialize, Serialize};
 
 /// Marks that are kept; older ones are forgotten everywhere at the same entry.
@@ -15,6 +16,8 @@
 pub(crate) enum Command {
     /// An operator's mark.
     Mark { order: String, text: String },
+    /// A command of the configuration.
+    Configuration(Vec<u8>),
 }
 
 impl Command {
@@ -39,6 +42,9 @@
     orders: BTreeMap<String, u64>,
     /// Commands that could not be read: of a later version of the program.
     unread: u64,
+    /// Of the configuration; after the rest in a snapshot, so that one without it stays as it was.
+    #[serde(skip)]
+    ledger: Ledger,
 }
 
 impl State {
@@ -63,6 +69,11 @@
                     }
                 }
             }
+            Ok(Command::Configuration(command)) => {
+                if !self.ledger.apply(index, &command) {
+                    self.unread += 1;
+                }
+            }
             Err(_) => self.unread += 1,
         }
     }
@@ -72,6 +83,11 @@
         self.orders.get(order).copied()
     }
 
+    /// What is agreed of the configuration.
+    pub(crate) fn ledger(&self) -> &Ledger {
+        &self.ledger
+    }
+
     /// The last entry applied.
     pub(crate) fn index(&self) -> u64 {
         self.index
@@ -88,15 +104,21 @@
     }
 
     pub(crate) fn snapshot(&self) -> Vec<u8> {
-        postcard::to_allocvec(self).unwrap_or_default()
+        let mut bytes = postcard::to_allocvec(self).unwrap_or_default();
+        if self.ledger != Ledger::default() {
+            bytes.extend(postcard::to_allocvec(&self.ledger).unwrap_or_default());
+        }
+        bytes
     }
 
     /// Takes a snapshot in place of what it holds; false and unchanged if it can't be read.
     pub(crate) fn restore(&mut self, bytes: &[u8]) -> bool {
-        match postcard::from_bytes(bytes) {
-            Ok(whole) => *self = whole,
-            Err(_) => return false,
+        let Ok((mut whole, rest)) = postcard::take_from_bytes::<State>(bytes) else { return false };
+        if !rest.is_empty() {
+            let Ok(ledger) = postcard::from_bytes(rest) else { return false };
+            whole.ledger = ledger;
         }
+        *self = whole;
         true
     }
 }
@@ -131,6 +153,13 @@
         assert!(snapshot.len() < 512 * 1024 && state.place(&format!("{:064}", 5)).is_none());
         let mut other = State::default();
         assert!(other.restore(&snapshot) && !other.restore(&[1]));
+        let packed = lemoncleat_configuration::pack("(classes)").expect("a text");
+        let change = lemoncleat_configuration::Command::Change { order: "c".to_owned(), parent: 0, packed };
+        let change = Command::Configuration(change.to_bytes()).to_bytes();
+        state.apply(1_900, &change);
+        other.apply(1_900, &change);
+        assert_eq!(state.ledger().announcement().trial.map(|trial| trial.number), Some(1));
+        assert!(State::default().restore(&state.snapshot()) && other.restore(&state.snapshot()));
         other.apply(2_000, &mark("next"));
         state.apply(2_000, &mark("next"));
         assert_eq!(other, state);
--- a/crates/lemoncleat-commons/tests/rules.rs
+++ b/crates/lemoncleat-commons/tests/rules.rs
@@ -91,7 +91,8 @@
         let name = |at: usize| -> Arc<str> { format!("n{at}").into() };
         let count = self.parts.len();
         let members = (0..count).map(|at| Member { name: name(at), zone: "z".into() }).collect();
-        let settings = Settings { own: name(at), members, voters: Vec::new(), round: 200 * MS };
+        let settings =
+            Settings { own: name(at), members, voters: Vec::new(), round: 200 * MS, configuration: false };
         let seed = self.rng.random();
         let mut part = Part::new(&settings, Seat::Follower, start, seed).expect("good settings");
         let limits = Limits { fences: self.fences, share: 20, ..Limits::default() };
@@ -139,6 +140,7 @@
                 }
                 Said::Log(_, text) => self.log.push((self.now, at, text)),
                 Said::Part(_) | Said::Word(..) | Said::Store(_) | Said::Answer(..) => {}
+                Said::Configure { .. } | Said::Keep(_) | Said::Settled => panic!("without a configuration"),
             }
         }
     }
@@ -317,7 +319,8 @@
 #[ignore = "a measurement"]
 fn cost() {
     let members = (0..5).map(|at| Member { name: format!("n{at}").into(), zone: "z".into() }).collect();
-    let settings = Settings { own: "n0".into(), members, voters: Vec::new(), round: 200 * MS };
+    let settings =
+        Settings { own: "n0".into(), members, voters: Vec::new(), round: 200 * MS, configuration: false };
     let mut part = Part::new(&settings, Seat::Follower, 1, 1).expect("good settings");
     let check = RulesCheck { rules: rules(1.0), limits: Limits::default(), processor: 10 };
     let mut said = Vec::new();
--- a/crates/lemoncleat-configuration/src/distributor.rs
+++ b/crates/lemoncleat-configuration/src/distributor.rs
@@ -89,8 +89,6 @@
         /// Whom to answer.
         conn: u64,
     },
-    /// The operator's connection is gone.
-    OperatorLeft(u64),
     /// The members from now on.
     Members(Vec<Member>),
 }
@@ -371,7 +369,6 @@
             Input::Calls(calls) => self.calls = calls,
             Input::Change { conn, order, parent, text } => self.change(now, conn, order, parent, text, out),
             Input::Query { conn } => self.ask_all(now, conn, out),
-            Input::OperatorLeft(conn) => self.wishes.retain(|wish| wish.conn != conn),
             Input::Members(members) => {
                 self.ids = members.iter().map(|member| member.id).collect();
                 self.members = members;
@@ -382,6 +379,11 @@
         self.turn(now, out);
     }
 
+    /// The operator's connection is gone: nobody waits for its answers.
+    pub fn operator_left(&mut self, conn: u64) {
+        self.wishes.retain(|wish| wish.conn != conn);
+    }
+
     /// When it wants [`Input::Timeout`] at the latest.
     pub fn wake(&self) -> Option<Micros> {
         let start = self.start_until.filter(|_| !self.started);
--- a/crates/lemoncleat-configuration/src/ledger.rs
+++ b/crates/lemoncleat-configuration/src/ledger.rs
@@ -71,6 +71,8 @@
     verdicts: VecDeque<(String, Verdict)>,
     /// Why the last trial was taken back.
     why: Option<(u64, String)>,
+    /// Orders that had a verdict so far.
+    judged: u64,
 }
 
 impl Command {
@@ -106,6 +108,7 @@
             }
             Err(why) => Verdict::Refused(why),
         };
+        self.judged += 1;
         self.verdicts.push_back((order, verdict));
         while self.verdicts.len() > MOST_VERDICTS {
             self.verdicts.pop_front();
@@ -175,6 +178,11 @@
         self.verdicts.iter().find(|(known, _)| known == order).map(|(_, verdict)| verdict)
     }
 
+    /// How many orders had a verdict so far.
+    pub fn verdicts(&self) -> u64 {
+        self.judged
+    }
+
     /// The version that was taken back last, and why; none once another is in force.
     pub fn taken_back(&self) -> Option<(u64, &str)> {
         self.why.as_ref().map(|(number, why)| (*number, why.as_str()))
