Driver of a fleet's configuration: texts, the kept copy, the start, orders of operators

Need: the core says what is to come in force and what to keep; sockets, disk and the settings' text are the driver's.

At a start clients are held until the core has settled what is in force, 8 s at the most. The control port has configure (checked by the same code before it is proposed), configuration and configurations; its lines may have 1 MiB now, for texts of 256 KiB. Calls are told before each timeout; lost are those cut, failed, and failed at the last moment.

--- a/crates/lemoncleat-service/src/control.rs
+++ b/crates/lemoncleat-service/src/control.rs
@@ -2,18 +2,22 @@
 //!
 //! `{"op":"list"}`, `{"op":"circuits","server":S}`, and `{"op":"block"|"unblock"|"reset"|"audit","server":S,
 //! "first":N,"count":N,"hardware":BOOL}`, and `{"op":"renew"}` for a new certificate. In a fleet `{"op":"members"}`,
-//! `{"op":"agreement"}`, `{"op":"mark","order":O,"text":T}` (answered once it is agreed) and `{"op":"marks","after":N}`. The
+//! `{"op":"agreement"}`, `{"op":"mark","order":O,"text":T}` (answered once it is agreed) and `{"op":"marks","after":N}`.
+//! Where the fleet has one configuration for all, `{"op":"configure","order":O,"parent":N,"text":T}` (answered once it is
+//! agreed, or refused), `{"op":"configuration"}` and `{"op":"configurations"}` (answered when the fleet was asked). The
 //! answer has `"ok":true`, or `"ok":false` and `"error"`.
 
 use lemoncleat_certificates::Keeper;
-use lemoncleat_commons::{Part, Said};
+use lemoncleat_commons::Said;
 use lemoncleat_node::circuits::{Blocks, Range, State};
 use lemoncleat_node::{CircuitOrder, Micros, Node, Output};
 use serde::Deserialize;
 use serde_json::{json, Value};
 
+use crate::fleet::FleetDriver;
+
 /// Longest line taken.
-pub(crate) const MAX_LINE: usize = 64 * 1024;
+pub(crate) const MAX_LINE: usize = 1024 * 1024;
 
 #[derive(Deserialize)]
 #[serde(rename_all = "lowercase")]
@@ -29,6 +33,9 @@
     Agreement,
     Mark,
     Marks,
+    Configure,
+    Configuration,
+    Configurations,
 }
 
 #[derive(Deserialize)]
@@ -49,13 +56,15 @@
     text: String,
     #[serde(default)]
     after: u64,
+    #[serde(default)]
+    parent: u64,
 }
 
 /// What an operator can reach at a node.
 pub(crate) struct At<'a> {
     pub(crate) node: &'a mut Node,
     pub(crate) keeper: Option<&'a Keeper>,
-    pub(crate) fleet: Option<&'a mut Part>,
+    pub(crate) fleet: Option<&'a mut FleetDriver>,
     pub(crate) now: Micros,
     /// His connection.
     pub(crate) conn: u64,
@@ -102,15 +111,17 @@
             None => json!({"ok": false, "error": "this node's certificates do not come by ACME"}),
         },
         Op::Members | Op::Agreement | Op::Mark | Op::Marks => return ask_fleet(at, &order, said),
+        Op::Configure | Op::Configuration | Op::Configurations => return configuration(at, order, said),
         _ => carry_out(at.node, at.now, &order, out)
             .unwrap_or_else(|error| json!({"ok": false, "error": error})),
     })
 }
 
 fn ask_fleet(at: &mut At<'_>, order: &Order, said: &mut Vec<Said>) -> Option<Value> {
-    let Some(fleet) = &mut at.fleet else {
+    let Some(driver) = &mut at.fleet else {
         return Some(json!({"ok": false, "error": "this node is in no fleet"}));
     };
+    let fleet = &mut driver.part;
     let answer = match order.op {
         Op::Members => Some(fleet.members(at.now)),
         Op::Marks => fleet.marks(order.after),
@@ -124,6 +135,28 @@
     )
 }
 
+/// Orders about the configuration of the whole fleet. A text is checked on a thread of its own before it is proposed.
+fn configuration(at: &mut At<'_>, order: Order, said: &mut Vec<Said>) -> Option<Value> {
+    let none = "this node has no configuration that its fleet agrees on";
+    let Some(driver) = at.fleet.as_mut() else {
+        return Some(json!({"ok": false, "error": "this node is in no fleet"}));
+    };
+    let Some(threads) = &mut driver.configuration else { return Some(json!({"ok": false, "error": none})) };
+    let error = match order.op {
+        Op::Configure if threads.check(at.conn, order.order.clone(), order.parent, order.text) => {
+            return None
+        }
+        Op::Configure => "too many texts wait to be checked",
+        Op::Configurations if driver.part.configurations(at.now, at.conn, said) => return None,
+        Op::Configurations => none,
+        _ => match driver.part.configuration(at.now) {
+            Some(answer) => return Some(answer),
+            None => none,
+        },
+    };
+    Some(json!({"ok": false, "order": order.order, "error": error}))
+}
+
 fn carry_out(node: &mut Node, now: Micros, order: &Order, out: &mut Vec<Output>) -> Result<Value, String> {
     let hardware = order.hardware;
     let wanted = match order.op {
@@ -160,9 +193,7 @@
         Op::Unblock => CircuitOrder::Unblock { hardware },
         Op::Reset => CircuitOrder::Reset,
         Op::Audit => CircuitOrder::Audit,
-        Op::Renew | Op::Members | Op::Agreement | Op::Mark | Op::Marks => {
-            return Err("not about circuits".to_owned());
-        }
+        _ => return Err("not about circuits".to_owned()),
     };
     let range = Range { first: order.first, count: order.count };
     node.order(now, &order.server, range, wanted, out)?;
--- a/crates/lemoncleat-service/src/fleet.rs
+++ b/crates/lemoncleat-service/src/fleet.rs
@@ -6,11 +6,11 @@
 
 use lemoncleat::Controller;
 use lemoncleat_agreement::{Store, Writer};
-use lemoncleat_commons::{Figures, Part, RulesCheck, Said, Seat, Settings};
+use lemoncleat_commons::{Calls, Figures, Part, RulesCheck, Said, Seat, Settings};
 use lemoncleat_consistency::{Limits, Rules};
-use lemoncleat_fleet::Member;
 use lemoncleat_node::Stats;
 
+use crate::configuration::ConfigurationDriver;
 use crate::fleet_settings::RulesSettings;
 use crate::FleetSettings;
 
@@ -24,6 +24,8 @@
 pub(crate) struct FleetDriver {
     pub(crate) part: Part,
     writer: Option<Writer>,
+    /// The threads of the configuration, where the fleet has one for all.
+    pub(crate) configuration: Option<ConfigurationDriver>,
 }
 
 /// A number that no other store has.
@@ -54,15 +56,15 @@
             Some(Err(why)) => (Seat::Broken(why), None),
             None => (Seat::Follower, None),
         };
-        let members = settings.members.iter();
         let settings = Settings {
             own: host.into(),
-            members: members.map(|m| Member { name: m.host.clone(), zone: m.zone.clone() }).collect(),
+            members: settings.carried(),
             voters: settings.voters.clone(),
             round: settings.round,
+            configuration: settings.configuration.is_some(),
         };
         let part = Part::new(&settings, seat, start, seed).map_err(|error| error.to_string())?;
-        Ok(FleetDriver { part, writer })
+        Ok(FleetDriver { part, writer, configuration: None })
     }
 
     /// Watches that all members of these rules decide alike.
@@ -82,3 +84,8 @@
 pub(crate) fn figures(stats: &Stats) -> Figures {
     Figures { standing: stats.standing as u64, setting_up: stats.setting_up as u64, calls: stats.calls }
 }
+
+/// What became of a node's calls: by this the first nodes under a new configuration are compared with others.
+pub(crate) fn calls(stats: &Stats) -> Calls {
+    Calls { calls: stats.calls, refused: stats.refused, lost: stats.cut + stats.last_moment + stats.failed }
+}
--- a/crates/lemoncleat-service/src/fleet_settings.rs
+++ b/crates/lemoncleat-service/src/fleet_settings.rs
@@ -5,6 +5,7 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 
+use lemoncleat_fleet::Member;
 use lemoncleat_node::{MemberPeer, Micros};
 use lemoncleat_settings::{Error, Span};
 use serde::Deserialize;
@@ -230,6 +231,12 @@
         self.members.iter().map(peer).collect()
     }
 
+    /// The members as the fleet's cores take them, in the same order.
+    pub(crate) fn carried(&self) -> Vec<Member> {
+        let member = |member: &FleetMember| Member { name: member.host.clone(), zone: member.zone.clone() };
+        self.members.iter().map(member).collect()
+    }
+
     /// That no member stands under another field of the file too.
     pub(crate) fn apart_from(&self, named: impl Fn(&str) -> bool, field: &str) -> Result<(), Error> {
         match self.members.iter().position(|member| named(&member.host)) {
--- a/crates/lemoncleat-service/src/lib.rs
+++ b/crates/lemoncleat-service/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod access;
 mod config;
+mod configuration;
 mod control;
 mod feed;
 mod fleet;
@@ -15,6 +16,7 @@
 
 pub use access::{listen_for_callers, read_access_config, serve_access, AccessControl, AccessSettings};
 pub use config::{read as read_config, read_with as read_config_with, Config, ConfigError, LogConfig};
+pub use configuration::ConfigurationNews;
 pub use feed::{parse_line, FeedError, FeedLine};
 pub use fleet_settings::{FleetMember, FleetSettings, RulesSettings};
 pub use in_place::fits_in_place;
--- a/crates/lemoncleat-service/src/service.rs
+++ b/crates/lemoncleat-service/src/service.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use lemoncleat_certificates::{Keeper, KeeperEvent, KeeperSettings};
-use lemoncleat_consistency::Rules;
+use lemoncleat_consistency::{Digest, Rules};
 use lemoncleat_net::{
     client_config, server_config, Authorities, ClientConfig, Event, Identity, Mailbox, MinVersion, Net,
     ServerName, TlsFiles,
@@ -20,9 +20,12 @@
 };
 
 use lemoncleat_commons::{Part, Said};
+use serde_json::json;
 
-use crate::fleet::{figures, FleetDriver, Stored};
-use crate::{control, feed, log};
+use crate::config::Config;
+use crate::configuration::{ConfigurationDriver, ConfigurationNews, Done};
+use crate::fleet::{calls, figures, FleetDriver, Stored};
+use crate::{control, feed, log, FleetMember};
 
 /// Events handled before what they led to is written, and how long that may take.
 const BATCH: usize = 128;
@@ -33,6 +36,9 @@
 const CATCH_UP: Micros = 200_000;
 /// How long after the core has stopped connections that it closed may take to write what they still hold.
 const LAST_BYTES: Micros = 2_000_000;
+/// How long clients are held at the most while it is decided what is in force at the start. The core decides well
+/// before.
+const LONGEST_HOLD: Micros = 8_000_000;
 /// Tags of the listeners for peers and for operators.
 const PEERS: u64 = 0;
 const CONTROL: u64 = 1;
@@ -101,6 +107,8 @@
     Stall(Duration),
     /// The thread that keeps what a voter promised has written a batch, or failed to.
     Stored(u64, Result<(), String>),
+    /// What the threads of the fleet's configuration have done.
+    Configuration(ConfigurationNews),
     /// Tell what was done so far.
     Stats(mpsc::Sender<Stats>),
 }
@@ -215,6 +223,7 @@
     ready: impl FnOnce(Started),
 ) -> Result<Stats, ServiceError> {
     lemoncleat_net::run(async |mut net: Net<Control>| {
+        let base = settings.clone();
         let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let seed = settings.seed.unwrap_or(since_epoch.as_nanos() as u64);
         let host = settings.node.host.clone();
@@ -222,6 +231,11 @@
         let gap = settings.node.timing.gap;
         // Seconds grow from start to start, as RFC 6733 section 8.16 suggests.
         let state_id = since_epoch.as_secs() as u32;
+        let in_force = InForce {
+            members: settings.fleet.as_ref().map(|fleet| fleet.members.clone()).unwrap_or_default(),
+            servers: settings.servers.clone(),
+            rules: settings.rules.version(),
+        };
         let node =
             Node::new(settings.node, state_id, seed).map_err(|e| ServiceError::Settings(e.to_string()))?;
         for listener in listeners {
@@ -260,6 +274,8 @@
             keeper: None,
             fleet: None,
             said: Vec::new(),
+            in_force,
+            held: false,
         };
         service.load_tls().map_err(ServiceError::Settings)?;
         let rules = settings.rules;
@@ -273,6 +289,17 @@
             let driver = FleetDriver::new(&service.host, settings, state_id, seed, stored);
             let mut driver = driver.map_err(ServiceError::Settings)?;
             driver.watch(rules, &settings.rules, &mut service.said);
+            if let Some(directory) = &settings.configuration {
+                let mailbox = service.net.sender();
+                let done = move |news| {
+                    // Once the loop has ended there is nobody to tell.
+                    let _ = mailbox.send_blocking(Control::Configuration(news));
+                };
+                let threads = ConfigurationDriver::start(directory, base, done);
+                driver.configuration = Some(threads.map_err(ServiceError::Settings)?);
+                service.held = true;
+                service.node.handle(0, Input::HoldClients(true), &mut service.outputs);
+            }
             service.fleet = Some(driver);
         }
         service.start_keeper().map_err(ServiceError::Settings)?;
@@ -282,6 +309,7 @@
         if !settings.servers.is_empty() {
             service.handle(Input::List(ListNews::Complete(settings.servers)));
         }
+        service.find_configuration();
         Ok(service.run().await)
     })
 }
@@ -316,6 +344,16 @@
     /// Its part in a fleet.
     fleet: Option<FleetDriver>,
     said: Vec<Said>,
+    /// Of what is in force, what is compared with a new version.
+    in_force: InForce,
+    /// Clients wait until it is decided what is in force at the start.
+    held: bool,
+}
+
+struct InForce {
+    members: Vec<FleetMember>,
+    servers: Vec<ListEntry>,
+    rules: Digest,
 }
 
 impl Service {
@@ -455,6 +493,21 @@
                 }
             }
             Said::Fence(come_back) => self.handle(Input::Fence(come_back)),
+            Said::Configure { number, text } => {
+                let Some(driver) = &mut self.fleet else { return };
+                if !driver.configuration.as_ref().is_some_and(|threads| threads.read(number, text)) {
+                    let why = Err("the thread that reads texts has ended".to_owned());
+                    driver.part.configured(now, number, why, &mut self.said);
+                }
+            }
+            Said::Keep(bytes) => {
+                let Some(driver) = &mut self.fleet else { return };
+                if !driver.configuration.as_ref().is_some_and(|threads| threads.keep(bytes)) {
+                    let why = Err("the thread that keeps the configuration has ended".to_owned());
+                    driver.part.kept(now, why, &mut self.said);
+                }
+            }
+            Said::Settled => self.admit(),
             Said::Log(true, text) => tracing::warn!(node = &*self.host, "{text}"),
             Said::Log(false, text) => tracing::info!(node = &*self.host, "{text}"),
         }
@@ -465,11 +518,91 @@
         let now = self.clock();
         let due = self.fleet.as_ref().and_then(|driver| driver.part.wake());
         if due.is_some_and(|due| due <= now) {
-            let figures = figures(&self.node.stats());
-            self.part(|part, now, said| part.timeout(now, figures, said));
+            let stats = self.node.stats();
+            self.part(|part, now, said| {
+                part.calls(calls(&stats));
+                part.timeout(now, figures(&stats), said);
+            });
+        }
+    }
+
+    /// Tells the fleet's part what was kept of the configuration. Before its first turn.
+    fn find_configuration(&mut self) {
+        let threads = self.fleet.as_ref().and_then(|driver| driver.configuration.as_ref());
+        let Some(found) = threads.map(ConfigurationDriver::found) else { return };
+        self.part(|part, now, said| part.found(now, found, said));
+    }
+
+    /// Calls are taken from now on.
+    fn admit(&mut self) {
+        if std::mem::take(&mut self.held) {
+            self.handle(Input::HoldClients(false));
+        }
+    }
+
+    fn configuration(&mut self, news: ConfigurationNews) {
+        match news.0 {
+            Done::Kept(result) => self.part(|part, now, said| part.kept(now, result, said)),
+            Done::Read { number, result } => {
+                let result = result.and_then(|config| self.put_in_force(number, *config));
+                self.part(|part, now, said| part.configured(now, number, result, said));
+            }
+            Done::Checked { conn, order, parent, text, result } => {
+                if let Some(threads) = self.fleet.as_mut().and_then(|driver| driver.configuration.as_mut()) {
+                    threads.checked();
+                }
+                if !self.operators.contains_key(&conn) {
+                    return;
+                }
+                self.part(|part, now, said| {
+                    let error = match result {
+                        Ok(()) if part.configure(now, conn, &order, parent, &text, said) => return,
+                        Ok(()) => "this fleet agrees on no configuration".to_owned(),
+                        Err(why) => why,
+                    };
+                    said.push(Said::Answer(conn, json!({"ok": false, "order": order, "error": error})));
+                });
+            }
         }
     }
 
+    /// Puts a version in force within this turn, whole or not at all.
+    fn put_in_force(&mut self, number: u64, config: Config) -> Result<(), String> {
+        let Config { service: new, differs, .. } = config;
+        let Some((fleet, driver)) = new.fleet.zip(self.fleet.as_ref()) else {
+            return Err("this node is in no fleet".to_owned());
+        };
+        let members = (fleet.members != self.in_force.members).then(|| fleet.carried());
+        if let Some(members) = &members {
+            driver.part.check_members(members)?;
+        }
+        let now = self.turn();
+        self.node.configure(now, new.node, &mut self.outputs)?;
+        if let Some(members) = members {
+            self.part(|part, now, said| part.set_members(now, members, said));
+            self.handle(Input::Members(fleet.peers()));
+            self.in_force.members = fleet.members;
+        }
+        if new.feed.is_none() && new.servers != self.in_force.servers {
+            self.handle(Input::List(ListNews::Complete(new.servers.clone())));
+            self.in_force.servers = new.servers;
+        }
+        let version = new.rules.version();
+        if std::mem::replace(&mut self.in_force.rules, version) != version {
+            tracing::info!(node = &*self.host, "rules {version}");
+            self.part(|part, now, said| part.rules(now, new.rules, said));
+        }
+        if self.held && !differs.is_empty() {
+            let fields = differs.join(", ");
+            tracing::info!(
+                node = &*self.host,
+                "configuration {number} wins over this node's file in {fields}"
+            );
+        }
+        tracing::info!(node = &*self.host, number, "configuration in force");
+        Ok(())
+    }
+
     /// Work of the fleet's part that nobody waits for: only where nothing else waits, and as much as its share of
     /// the processor allows.
     fn fleet_work(&mut self) {
@@ -498,6 +631,13 @@
             let all = self.batch(event).await;
             self.handle(Input::Timeout);
             self.fleet_turn();
+            if self.held && self.looked > LONGEST_HOLD {
+                tracing::warn!(
+                    node = &*self.host,
+                    "what is in force is not decided: calls are taken as the file says"
+                );
+                self.admit();
+            }
             self.write();
             if self.away {
                 self.catch_up().await;
@@ -581,13 +721,7 @@
             let line: Vec<u8> = held.drain(..=end).collect();
             let now = self.turn();
             let keeper = self.keeper.as_ref();
-            let mut at = control::At {
-                node: &mut self.node,
-                keeper,
-                fleet: self.fleet.as_mut().map(|driver| &mut driver.part),
-                now,
-                conn,
-            };
+            let mut at = control::At { node: &mut self.node, keeper, fleet: self.fleet.as_mut(), now, conn };
             if let Some(answer) = control::answer(&mut at, &line, &mut self.outputs, &mut self.said) {
                 self.net.send(conn, format!("{answer}\n").as_bytes());
             }
@@ -636,6 +770,7 @@
             Event::Message(Control::Stored(batch, result)) => {
                 self.part(|part, now, said| part.stored(now, batch, result, said));
             }
+            Event::Message(Control::Configuration(news)) => self.configuration(news),
             Event::Message(Control::Stop) => {
                 self.stopping = true;
                 self.handle(Input::Stop);
--- a/crates/lemoncleat-service/tests/shared.rs
+++ b/crates/lemoncleat-service/tests/shared.rs
@@ -87,7 +87,7 @@
 #[test]
 fn members_mean_nothing_to_a_node_on_its_own() {
     let alone = &NODE[..NODE.find("(fleet").expect("a fleet")];
-    let told = read_config_with(alone, "(nodes 1)\n(members)").err().expect("no fleet").in_file("text");
+    let told = read_config_with(alone, "(nodes 1)\n(members)").expect_err("no fleet").in_file("text");
     assert_eq!(told, "text:2:1: members: this node is in no fleet");
 }
 
@@ -102,6 +102,6 @@
 fn a_class_named_twice_is_refused() {
     let class = "(class (name browse) (aim 1s) (deadline 6s) (worth 8))";
     let told =
-        read_config_with(NODE, &format!("(classes {class}\n {class})")).err().expect("twice").in_file("t");
+        read_config_with(NODE, &format!("(classes {class}\n {class})")).expect_err("twice").in_file("t");
     assert_eq!(told, "t:2:9: classes[1].name: \"browse\" stands twice");
 }
