Access node: members that can't come in force are refused with the rest of the settings

Need: whole or not at all. A member of a new list that the node knows as a client or server, even one that went, was taken by Node::configure and then left out with a notice by the members' own input. It is refused now, with its name, before anything changes.

--- a/crates/lemoncleat-node/src/node/configure.rs
+++ b/crates/lemoncleat-node/src/node/configure.rs
@@ -5,7 +5,7 @@
 
 use super::*;
 use crate::rebuild::{rebuild, Change};
-use crate::settings::NodeSettings;
+use crate::settings::{MemberPeer, NodeSettings};
 
 /// Most peers that a node knows in its life: clients and servers that went keep their number.
 const MOST_PEERS: usize = 65_536;
@@ -38,7 +38,8 @@
     /// went decides for its pending calls until they are over, and no new call gets it. A client that went keeps its
     /// connection until its last call is over. A new `limits.message` holds for connections made from now on.
     ///
-    /// Members are not among what changes here, they have an input of their own; those of `settings` are passed over.
+    /// Members are not among what changes here, they have an input of their own; of those of `settings` it is only looked
+    /// whether they could come in force with the rest.
     ///
     /// # Errors
     ///
@@ -78,6 +79,13 @@
                 None => fresh.push(client.clone()),
             }
         }
+        for MemberPeer { host, .. } in &settings.members {
+            let role =
+                self.hosts.get(host).and_then(|id| self.peers.get(id.0 as usize)).map(|slot| slot.role);
+            if matches!(role, Some(Role::Client | Role::Server(_))) || fresh.contains(host) {
+                return Err(format!("members: {host:?} is a client or server since the start"));
+            }
+        }
         if self.peers.len() + fresh.len() > MOST_PEERS {
             return Err(format!("clients: more than {MOST_PEERS} peers since the start"));
         }
--- a/crates/lemoncleat-node/tests/configure.rs
+++ b/crates/lemoncleat-node/tests/configure.rs
@@ -122,7 +122,7 @@
 #[test]
 fn what_can_not_change_is_refused_with_its_field_and_nothing_changes() {
     type Change = fn(&mut NodeSettings);
-    let cases: [(&str, Change); 11] = [
+    let cases: [(&str, Change); 12] = [
         ("host: can't", |new| new.host = "other.example".into()),
         ("realm: can't", |new| new.realm = "other".into()),
         ("listen: can't", |new| new.addresses.clear()),
@@ -133,6 +133,11 @@
         ("classes: \"0\" stands twice", |new| new.class_names[1] = "0".into()),
         ("classes: 1 names of 2", |new| new.class_names.truncate(1)),
         ("clients: \"a.example\" is a server", |new| new.clients.push("a.example".into())),
+        ("members: \"front.example\" is a client", |new| {
+            let address = common::address("front.example");
+            new.clients.remove(0);
+            new.members.push(lemoncleat_node::MemberPeer { host: "front.example".into(), address });
+        }),
         ("unusable settings: a class needs", |new| new.module.classes[0].worth = -1.0),
     ];
     let mut bench = Bench::new(settings());
