Comments of the configuration's files within 110 columns

Need: the house's limit, which rustfmt does not hold for comments. Only comments were wrapped; all tests of the packages lemoncleat-node and lemoncleat-service pass as before.

--- a/crates/lemoncleat-node/src/node/configure.rs
+++ b/crates/lemoncleat-node/src/node/configure.rs
@@ -1,7 +1,7 @@
 //! New settings put in force in place, whole or not at all.
 //!
-//! What other cores and standing connections hold can't change so: it is refused with its field. All else takes
-//! effect within the turn. Standing calls, attempts, timers and what was learned of servers stay.
+//! What other cores and standing connections hold can't change so: it is refused with its field. All else
+//! takes effect within the turn. Standing calls, attempts, timers and what was learned of servers stay.
 
 use super::*;
 use crate::rebuild::{rebuild, Change};
@@ -33,18 +33,19 @@
 }
 
 impl Node {
-    /// Puts new settings in force at this moment, whole or not at all. Calls that stand, attempts that are out,
-    /// calls that wait, timers and what was learned of servers stay; calls keep their class by its name. A class that
-    /// went decides for its pending calls until they are over, and no new call gets it. A client that went keeps its
-    /// connection until its last call is over. A new `limits.message` holds for connections made from now on.
+    /// Puts new settings in force at this moment, whole or not at all. Calls that stand, attempts that are
+    /// out, calls that wait, timers and what was learned of servers stay; calls keep their class by its name.
+    /// A class that went decides for its pending calls until they are over, and no new call gets it. A client
+    /// that went keeps its connection until its last call is over. A new `limits.message` holds for
+    /// connections made from now on.
     ///
-    /// Members are not among what changes here, they have an input of their own; of those of `settings` it is only looked
-    /// whether they could come in force with the rest.
+    /// Members are not among what changes here, they have an input of their own; of those of `settings` it is
+    /// only looked whether they could come in force with the rest.
     ///
     /// # Errors
     ///
-    /// In one line that begins with the field, where it can't change in place or can't be used. Nothing has changed
-    /// then.
+    /// In one line that begins with the field, where it can't change in place or can't be used. Nothing has
+    /// changed then.
     pub fn configure(
         &mut self,
         now: Micros,
@@ -167,8 +168,8 @@
         self.held.as_ref().is_some_and(|held| held.contains_key(&conn))
     }
 
-    /// Keeps the first message of a client for later, if clients are held. What is kept is bounded: whoever says more
-    /// before he is answered, or more than capabilities take, is hung up on.
+    /// Keeps the first message of a client for later, if clients are held. What is kept is bounded: whoever
+    /// says more before he is answered, or more than capabilities take, is hung up on.
     pub(super) fn hold(&mut self, conn: ConnId, message: &MessageRef<'_>) -> bool {
         if self.is_held(conn) || self.held.is_some() && message.bytes.len() > MOST_HELD {
             self.notice(Notice::NoCapabilities(conn));
--- a/crates/lemoncleat-node/src/rebuild.rs
+++ b/crates/lemoncleat-node/src/rebuild.rs
@@ -1,9 +1,10 @@
-//! The decision module with new settings and all that it knows: calls that are pending or wait, what was learned of
-//! servers, its timer.
+//! The decision module with new settings and all that it knows: calls that are pending or wait, what was
+//! learned of servers, its timer.
 //!
-//! It is taken apart as its serialized state ([`Value`], which keeps every float to the bit) and put together anew.
-//! What names a class is moved by the class's name; what the module derives from its settings is that of a fresh
-//! module. A field that is not known here is refused, or a later module could lose something unseen.
+//! It is taken apart as its serialized state ([`Value`], which keeps every float to the bit) and put together
+//! anew. What names a class is moved by the class's name; what the module derives from its settings is that
+//! of a fresh module. A field that is not known here is refused, or a later module could lose something
+//! unseen.
 
 use std::sync::Arc;
 
@@ -35,8 +36,8 @@
 /// A module with new settings.
 pub(crate) struct Rebuilt {
     pub controller: Controller,
-    /// The names of the classes that it knows: those of its settings, then those that went while calls of them are
-    /// pending.
+    /// The names of the classes that it knows: those of its settings, then those that went while calls of
+    /// them are pending.
     pub names: Vec<Arc<str>>,
     /// Where each class that it knew stands now.
     pub indexes: Vec<Option<usize>>,
--- a/crates/lemoncleat-service/src/configuration.rs
+++ b/crates/lemoncleat-service/src/configuration.rs
@@ -1,5 +1,5 @@
-//! The driver of a fleet's configuration: threads that read texts and keep the version in force on disk, so that no
-//! call waits for either.
+//! The driver of a fleet's configuration: threads that read texts and keep the version in force on disk, so
+//! that no call waits for either.
 
 use std::fs::{self, File};
 use std::io::{self, Read, Write};
@@ -11,7 +11,8 @@
 use crate::in_place::fits_in_place;
 use crate::service::ServiceSettings;
 
-/// The version in force, in the directory of the settings, and the file that is written before it takes its place.
+/// The version in force, in the directory of the settings, and the file that is written before it takes its
+/// place.
 const FILE: &str = "configuration";
 const ASIDE: &str = "configuration.new";
 /// Most bytes of such a file.
@@ -57,14 +58,16 @@
     }
 }
 
-/// Reads an agreed text with the settings that a node was started with, and looks whether it could be put in force.
+/// Reads an agreed text with the settings that a node was started with, and looks whether it could be put in
+/// force.
 fn read(base: &ServiceSettings, text: &str) -> Result<Config, String> {
     let config = read_with(&base.text, text).map_err(|error| error.in_file("text"))?;
     fits_in_place(base, &config.service).map_err(|why| format!("text: {why}"))?;
     Ok(config)
 }
 
-/// Puts these bytes in place of those before: after a crash at any moment the one or the other are there, whole.
+/// Puts these bytes in place of those before: after a crash at any moment the one or the other are there,
+/// whole.
 fn keep(directory: &Path, bytes: &[u8]) -> io::Result<()> {
     fs::create_dir_all(directory)?;
     let aside = directory.join(ASIDE);
--- a/crates/lemoncleat-service/src/shared.rs
+++ b/crates/lemoncleat-service/src/shared.rs
@@ -106,7 +106,8 @@
     }
 }
 
-/// A mistake with its place in the text, where its field stands there: what does not fit together has none yet.
+/// A mistake with its place in the text, where its field stands there: what does not fit together has none
+/// yet.
 pub(crate) fn placed(text: &str, mut error: Error) -> Error {
     if let Some(path) = error.path.strip_prefix("fleet.members") {
         error.path = format!("members{path}");
--- a/crates/lemoncleat-service/tests/configuration.rs
+++ b/crates/lemoncleat-service/tests/configuration.rs
@@ -1,4 +1,5 @@
-//! The configuration of a fleet on sockets: agreed, put in force under a standing call, kept, and had again at a start.
+//! The configuration of a fleet on sockets: agreed, put in force under a standing call, kept, and had again
+//! at a start.
 
 mod common;
 
