--- a/crates/lemoncleat-simulate/src/fleet/run.rs
+++ b/crates/lemoncleat-simulate/src/fleet/run.rs
@@ -305,6 +305,7 @@
             members: self.members.clone(),
             voters: self.members[..self.plan.voters].iter().map(|member| member.name.clone()).collect(),
             round: self.plan.round,
+            configuration: false,
         };
         let seat = node.disk.clone().map_or(Seat::Follower, Seat::Voter);
         match Part::new(&settings, seat, node.start, seed) {
