Configuration: no turns asked for while a version is being put in force

While the driver put a version in force after the start's wait, the core's wake stood in the past: a loop without end of turns, found as a planted run took nine minutes.

--- a/crates/lemoncleat-configuration/src/distributor.rs
+++ b/crates/lemoncleat-configuration/src/distributor.rs
@@ -386,7 +386,8 @@
 
     /// When it wants [`Input::Timeout`] at the latest.
     pub fn wake(&self) -> Option<Micros> {
-        let start = self.start_until.filter(|_| !self.started);
+        // While the driver puts a version in force, its word is waited for.
+        let start = self.start_until.filter(|_| !self.started && self.trying.is_none());
         let rollout =
             self.rollout.as_ref().filter(|_| self.leading).map(|rollout| rollout.wake(&self.timing));
         let fetch = self.fetch.as_ref().map(|fetch| fetch.until);
--- a/crates/lemoncleat-configuration/src/distributor/fetch.rs
+++ b/crates/lemoncleat-configuration/src/distributor/fetch.rs
@@ -26,7 +26,7 @@
         let needs: Vec<Version> = needs.into_iter().flatten().filter(lacking).collect();
         if let Some(fetch) = &self.fetch {
             let stands = self.peers.contains_key(&fetch.peer) && needs.contains(&fetch.version);
-            if stands && (now < fetch.until || plant::is(Plant::NoSecondFetch)) {
+            if stands && now < fetch.until {
                 return;
             }
             if stands {
@@ -36,7 +36,8 @@
         }
         let found = needs.into_iter().find_map(|version| Some((version, self.holder(now, version.number)?)));
         let Some((version, peer)) = found else { return };
-        self.fetch = Some(Fetch { version, peer, bytes: Vec::new(), until: now + self.timing.beat });
+        let until = if plant::is(Plant::NoSecondFetch) { Micros::MAX } else { now + self.timing.beat };
+        self.fetch = Some(Fetch { version, peer, bytes: Vec::new(), until });
         self.tell(peer, &Word::Fetch { number: version.number, at: 0 }, out);
     }
 
--- a/crates/lemoncleat-configuration/tests/net/mod.rs
+++ b/crates/lemoncleat-configuration/tests/net/mod.rs
@@ -296,12 +296,15 @@
         let mut out = Vec::new();
         core.handle(now, input, &mut out);
         let step = core.announcement().step;
-        let wake = core.wake().unwrap_or(Micros::MAX).max(now + 1);
+        let wake = core.wake().unwrap_or(Micros::MAX);
+        let spins = wake <= now;
+        let wake = wake.max(now + 1);
         let before = std::mem::replace(&mut place.step, step);
         if wake < place.wake || place.wake <= now {
             place.wake = wake;
             self.after(wake - now, Event::Wake(node));
         }
+        self.law(!spins, || format!("node {node} wants a turn again at once"));
         self.law(step >= before, || format!("node {node} went from step {before} to {step}"));
         for output in out {
             self.output(node, output);
