rehearse scale: hollow nodes beside real ones, in one fleet on one machine

Need: what a node costs and how long a fleet takes to be at one was only known up to 64 processes. It plays start, rest, restarts, a rack killed, a zone paused, a region cut off, the voters' leader killed; it judges laws and the five rules and sets figures against the operators' budgets. A play of configuration changes stands behind `--changes` and was not run: the program has none yet.

--- a/crates/lemoncleat-cli/src/args.rs
+++ b/crates/lemoncleat-cli/src/args.rs
@@ -42,6 +42,9 @@
     Circuits(CircuitsArgs),
     /// Show and mind the certificates that a node gets by ACME.
     Cert(CertArgs),
+    /// Hold nodes without calls for `rehearse scale`, which starts this and says what to do on standard input.
+    #[command(hide = true)]
+    Hollow,
     /// The laboratory: stand-ins to try clients against, and measurements.
     Lab(LabArgs),
 }
@@ -67,10 +70,11 @@
 
 #[derive(ClapArgs)]
 pub struct RehearseArgs {
-    /// A built-in day (payday, glare, renewals, renewals-hard, calm, short and others), `agree`, or the file of a
-    /// script.
+    /// A built-in day (payday, glare, renewals, renewals-hard, calm, short and others), `agree`, `scale`, or the file
+    /// of a script.
     ///
     /// `agree` starts real processes that agree on operators' marks while voters are killed, paused and cut off.
+    /// `scale` plays a large fleet, most of it nodes without calls, many to a process.
     #[arg(default_value = "payday", conflicts_with = "bench_day")]
     pub day: String,
     /// A day of the operators' bench, as JSON, in place of a script.
@@ -85,9 +89,18 @@
     /// How long calls arrive, in place of the script's; its troubles come over and over.
     #[arg(long, value_name = "SPAN")]
     pub length: Option<Span>,
-    /// How many nodes the rehearsals of a fleet start, 3 to 64.
-    #[arg(long, default_value_t = 9, value_parser = clap::value_parser!(u32).range(3..=64))]
+    /// How many nodes the rehearsals of a fleet start: 3 to 64 for `agree`, 24 to 1,024 for `scale`.
+    #[arg(long, default_value_t = 9, value_parser = clap::value_parser!(u32).range(3..=1_024))]
     pub nodes: u32,
+    /// How many nodes of `scale` are processes of their own and have calls.
+    #[arg(long, default_value_t = 8, value_parser = clap::value_parser!(u32).range(1..=64))]
+    pub real: u32,
+    /// How often a node of `scale` looks after others; by default 1s, in a fleet below 300 nodes 500ms.
+    #[arg(long, value_name = "SPAN")]
+    pub round: Option<Span>,
+    /// How many changes of configuration `scale` plays; 0 for none.
+    #[arg(long, default_value_t = 0)]
+    pub changes: u32,
     /// Seed of the stand-ins and nodes; by default the script's.
     #[arg(long)]
     pub seed: Option<u64>,
--- a/crates/lemoncleat-cli/src/main.rs
+++ b/crates/lemoncleat-cli/src/main.rs
@@ -8,11 +8,13 @@
 mod control;
 mod fleet;
 mod glare;
+mod hollow;
 mod lab;
 mod measure;
 mod node;
 mod rehearse;
 mod renewals;
+mod scale;
 mod signals;
 mod simulate;
 
@@ -54,6 +56,7 @@
         Command::Load(args) => lab::load(&args),
         Command::Circuits(args) => circuits::run(&args),
         Command::Cert(args) => cert::run(&args),
+        Command::Hollow => hollow::run(),
         Command::Lab(args) => match args.command {
             args::LabCommand::Up(args) => lab::up(&args),
             args::LabCommand::Glare(args) => glare::run(&args),
--- a/crates/lemoncleat-cli/src/rehearse.rs
+++ b/crates/lemoncleat-cli/src/rehearse.rs
@@ -14,6 +14,9 @@
 use crate::args::{JudgeArgs, RehearseArgs};
 use crate::Failure;
 
+/// Most nodes that `agree` plays with.
+const MOST_AGREE: u32 = 64;
+
 fn text_of(file: &Path) -> Result<String, Failure> {
     std::fs::read_to_string(file).map_err(|error| Failure::Usage(format!("{}: {error}", file.display())))
 }
@@ -32,7 +35,7 @@
     }
     let file = Path::new(&args.day);
     if !file.exists() {
-        let known: Vec<&str> = builtin_names().chain([crate::fleet::AGREE]).collect();
+        let known: Vec<&str> = builtin_names().chain([crate::fleet::AGREE, crate::scale::SCALE]).collect();
         let why = format!("{:?} is neither a file nor a built-in day ({})", args.day, known.join(", "));
         return Err(Failure::Usage(why));
     }
@@ -41,8 +44,14 @@
 
 pub fn run(args: &RehearseArgs) -> Result<(), Failure> {
     if args.bench_day.is_none() && args.day == crate::fleet::AGREE {
+        if args.nodes > MOST_AGREE {
+            return Err(Failure::Usage(format!("--nodes: {} is not in 3..={MOST_AGREE}", args.nodes)));
+        }
         return crate::fleet::agree(args);
     }
+    if args.bench_day.is_none() && args.day == crate::scale::SCALE {
+        return crate::scale::scale(args);
+    }
     let mut day = the_day(args)?;
     if let Some(seed) = args.seed {
         day.seed = seed;
--- /dev/null
+++ b/crates/lemoncleat-cli/src/scale.rs
@@ -0,0 +1,70 @@
+//! `lemoncleat rehearse scale`: hollow nodes beside real ones.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_lite::StreamExt;
+use lemoncleat_lab::scale::{rehearse_scale, scale_table, ScalePlan};
+
+use crate::args::RehearseArgs;
+use crate::{signals, Failure};
+
+/// The name of the day.
+pub const SCALE: &str = "scale";
+const SEED: u64 = 1;
+/// From so many nodes on a fleet has rounds of a second, unless it is said, and five voters.
+const LARGE: usize = 300;
+/// Calls a second through all real nodes together.
+const RATE: f64 = 40.0;
+
+fn plan(args: &RehearseArgs) -> Result<ScalePlan, Failure> {
+    let nodes = args.nodes as usize;
+    let large = nodes >= LARGE;
+    let rest = if large { Duration::from_secs(30) } else { Duration::from_secs(3) };
+    Ok(ScalePlan {
+        binary: std::env::current_exe().map_err(Failure::failed)?,
+        nodes,
+        real: args.real as usize,
+        voters: if large { 5 } else { 3 },
+        seed: args.seed.unwrap_or(SEED),
+        folder: std::env::temp_dir().join(format!("lemoncleat-scale-{}", std::process::id())),
+        round: args.round.map_or(if large { 1_000_000 } else { 500_000 }, |round| round.0),
+        rest: args.length.map_or(rest, |length| Duration::from_micros(length.0.max(0) as u64)),
+        restarts: if large { 10 } else { 3 },
+        changes: args.changes as usize,
+        rate: RATE,
+        patience: if large { Duration::from_secs(240) } else { Duration::from_secs(120) },
+        stop: Arc::new(AtomicBool::new(false)),
+    })
+}
+
+pub fn scale(args: &RehearseArgs) -> Result<(), Failure> {
+    let plan = plan(args)?;
+    let mut heeded = signals::heed()?;
+    let stop = plan.stop.clone();
+    std::thread::spawn(move || {
+        futures_lite::future::block_on(async {
+            while heeded.next().await.is_some() {
+                stop.store(true, Ordering::SeqCst);
+            }
+        });
+    });
+    println!("scale: {} nodes, rounds of {} ms, seed {}", plan.nodes, plan.round / 1_000, plan.seed);
+    let done = rehearse_scale(&plan, &mut |line| println!("{line}"));
+    let report = done.map_err(|error| match error.kind() {
+        std::io::ErrorKind::InvalidInput => Failure::Usage(error.to_string()),
+        _ => Failure::failed(error),
+    })?;
+    print!("{}", scale_table(&report));
+    if let Some(file) = &args.json {
+        let text = serde_json::to_string_pretty(&report).map_err(Failure::failed)?;
+        std::fs::write(file, text)
+            .map_err(|error| Failure::Failed(format!("{}: {error}", file.display())))?;
+    }
+    if report.kept {
+        Ok(())
+    } else {
+        Err(Failure::Told)
+    }
+}
--- a/crates/lemoncleat-lab/src/lib.rs
+++ b/crates/lemoncleat-lab/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`rehearse`] plays a day against access nodes and returns the [`Capture`] of its frames.
 //! - [`judge`] works the five rules and the service out of a capture, sharing no state machine with the node.
 //! - [`stage`] starts real processes and disturbs their links; [`rehearse_agree`] plays and judges what they agree on.
+//! - [`scale`] plays a fleet of a thousand: hollow nodes beside real ones.
 //! - [`load`] offers calls at a steady rate and measures set-up times.
 
 mod agree;
@@ -26,6 +27,7 @@
 mod relay;
 mod renewals;
 mod report;
+pub mod scale;
 mod script;
 mod server;
 pub mod stage;
@@ -45,7 +47,7 @@
 pub use judge::{judge, Handshakes, LiveJudge, Rule, RuleVerdict, TroubleRow, Verdict, Violation};
 pub use load::{load, saturate, LoadReport, LoadSettings};
 pub use processor::{Job, Processor, ProcessorSettings};
-pub use rehearse::{lab_up, rehearse, LabReady, Rehearsal};
+pub use rehearse::{lab_up, rehearse, rehearse_until, LabReady, Rehearsal};
 pub use relay::{spawn_relay, Relay};
 pub use renewals::{fleet_run, FleetPlan, FleetResult, FleetRun};
 pub use report::{table, TableOptions};
--- a/crates/lemoncleat-lab/src/rehearse.rs
+++ b/crates/lemoncleat-lab/src/rehearse.rs
@@ -124,6 +124,27 @@
     })
 }
 
+/// As [`rehearse`], for a day whose end is told: `ready` gets the way to say [`LabMessage::LastCall`] once calls
+/// arrive.
+///
+/// # Errors
+///
+/// As [`rehearse`].
+pub fn rehearse_until(
+    day: &Day,
+    start: StartNode<'_>,
+    ready: impl FnOnce(lemoncleat_net::Mailbox<LabMessage>),
+) -> Result<Rehearsal, RehearseError> {
+    lemoncleat_net::run(async |net| {
+        let wire = Sockets { net, start: Instant::now() };
+        let mut world = World::build(day.clone(), wire, start, &[])?;
+        world.open().await?;
+        ready(world.wire.net.sender());
+        world.play(&mut |_| {}).await;
+        Ok(world.finish().await)
+    })
+}
+
 /// Keeps a laboratory up: one or more nodes with stand-ins, for clients from outside under the names given.
 /// `ready` hears where everything is, and gets a way to end it.
 ///
--- a/crates/lemoncleat-lab/src/stage/process.rs
+++ b/crates/lemoncleat-lab/src/stage/process.rs
@@ -1,10 +1,10 @@
 //! A program started from its binary.
 
 use std::fs::{self, OpenOptions};
-use std::io;
+use std::io::{self, Write};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, ExitStatus, Stdio};
+use std::process::{Child, ChildStdin, Command, ExitStatus, Stdio};
 use std::sync::Arc;
 
 use rustix::process::{kill_process, waitid, Pid, Signal, WaitId, WaitIdOptions};
@@ -71,6 +71,11 @@
     log: Arc<Lines>,
     /// Lines of output before this run.
     begun: usize,
+    /// It takes orders on its standard input.
+    ordered: bool,
+    orders: Option<ChildStdin>,
+    /// Lines of output that were heard as answers, over all runs.
+    heard: usize,
 }
 
 impl Process {
@@ -81,6 +86,31 @@
     ///
     /// When the folder can't be written or the binary not started.
     pub fn start(name: &str, program: &Program, folder: &Path, settings: &str) -> io::Result<Process> {
+        Process::begin(name, program, folder, settings, false)
+    }
+
+    /// As [`Process::start`], for one that takes orders on its standard input ([`Process::say`]) and ends when that
+    /// closes.
+    ///
+    /// # Errors
+    ///
+    /// As [`Process::start`].
+    pub fn start_ordered(
+        name: &str,
+        program: &Program,
+        folder: &Path,
+        settings: &str,
+    ) -> io::Result<Process> {
+        Process::begin(name, program, folder, settings, true)
+    }
+
+    fn begin(
+        name: &str,
+        program: &Program,
+        folder: &Path,
+        settings: &str,
+        ordered: bool,
+    ) -> io::Result<Process> {
         fs::create_dir_all(folder.join("disk"))?;
         let mut process = Process {
             name: name.to_owned(),
@@ -91,6 +121,9 @@
             output: Arc::default(),
             log: Arc::default(),
             begun: 0,
+            ordered,
+            orders: None,
+            heard: 0,
         };
         process.set_settings(settings)?;
         process.spawn()?;
@@ -111,18 +144,20 @@
             .args(self.program.arguments.iter().map(fill))
             .envs(self.program.environment.iter().cloned())
             .current_dir(&disk)
-            .stdin(Stdio::null())
+            .stdin(if self.ordered { Stdio::piped() } else { Stdio::null() })
             .stdout(Stdio::piped())
             .stderr(Stdio::piped())
             .spawn()
             .map_err(|error| {
                 io::Error::new(error.kind(), format!("{}: {error}", self.program.path.display()))
             })?;
+        self.orders = child.stdin.take();
         let (output, errors) = (child.stdout.take(), child.stderr.take());
         // Held from here on, so that it ends even if what follows fails.
         self.child = Some(child);
         self.paused = false;
         self.begun = self.output.count();
+        self.heard = self.begun;
         let copy = OpenOptions::new().create(true).append(true).open(self.folder.join("log"))?;
         if let Some(errors) = errors {
             self.log.read(&self.name, errors, Some(copy))?;
@@ -219,6 +254,30 @@
             .map_err(|error| self.with_log(&error))
     }
 
+    /// Gives it a line on its standard input.
+    ///
+    /// # Errors
+    ///
+    /// When it takes no orders or has ended.
+    pub fn say(&mut self, line: &str) -> io::Result<()> {
+        let none = || io::Error::other("it takes no orders");
+        let orders = self.orders.as_mut().ok_or_else(none)?;
+        orders.write_all(format!("{line}\n").as_bytes())?;
+        orders.flush()
+    }
+
+    /// Waits for the next line of its standard output, each heard once.
+    ///
+    /// # Errors
+    ///
+    /// As [`Process::wait_for_log`].
+    pub fn hear(&mut self) -> io::Result<String> {
+        let found = self.output.wait(&format!("an answer of {}", self.name), self.heard, |_| true);
+        let line = found.map_err(|error| self.with_log(&error))?;
+        self.heard += 1;
+        Ok(line)
+    }
+
     fn pid(&self) -> io::Result<Pid> {
         let gone = || io::Error::new(io::ErrorKind::NotFound, format!("{} does not run", self.name));
         self.child.as_ref().map(Pid::from_child).ok_or_else(gone)
--- a/crates/lemoncleat-lab/src/world.rs
+++ b/crates/lemoncleat-lab/src/world.rs
@@ -150,6 +150,8 @@
 pub enum LabMessage {
     /// End it.
     Stop,
+    /// No more calls arrive; the day is over after its tail.
+    LastCall,
     /// A node of it has ended.
     NodeEnded,
 }
@@ -578,6 +580,10 @@
                 }
                 Some(Owner::Feed(_) | Owner::Witness) | None => {}
             },
+            Event::Message(LabMessage::LastCall) => {
+                self.day.length = lemoncleat_settings::Span(now - self.zero);
+                self.at(now + self.day.tail.0, Tick::Last);
+            }
             Event::Message(_) => {}
         }
     }
