--- a/crates/lemoncleat-cli/tests/scale.rs
+++ b/crates/lemoncleat-cli/tests/scale.rs
@@ -10,7 +10,8 @@
         .expect("the command runs")
 }
 
-/// Nodes and rounds. Without optimisation a node takes about ten times as long for a turn, and a hundred of them
+/// Nodes and rounds. Without optimisation a node takes about ten times as long for a turn, and a hundred of
+/// them
 /// more than a machine of eight cores has.
 const PLAYED: (&str, &str) = if cfg!(debug_assertions) { ("36", "1s") } else { ("106", "500ms") };
 
--- a/crates/lemoncleat-lab/src/scale/figures.rs
+++ b/crates/lemoncleat-lab/src/scale/figures.rs
@@ -29,7 +29,8 @@
 }
 
 impl Windows {
-    /// Takes what a node had at a moment; what it took since the last time is a window, if it is the same process.
+    /// Takes what a node had at a moment; what it took since the last time is a window, if it is the same
+    /// process.
     pub(super) fn take(&mut self, node: usize, sample: Sample) {
         let last = self.last.insert(node, sample);
         self.memory.push(sample.memory_bytes as f64);
--- a/crates/lemoncleat-lab/src/scale/layout.rs
+++ b/crates/lemoncleat-lab/src/scale/layout.rs
@@ -21,8 +21,10 @@
 const RACK: usize = 40;
 /// Nodes of a rack whose words are counted.
 const COUNTED: usize = 2;
-/// Connections that a node has to others at once, as reckoned before the start; three or four stand, more are opened
-/// for single words.
+/// Connections that a node has to others at once, as reckoned before the start. Three or four stand; more are
+/// opened
+/// for single words, and where all start at once 120 were counted at each of 1,000, which is past what is
+/// reckoned.
 const CONNECTIONS: usize = 6;
 /// Descriptors of a node beside its connections: listener, control port and who asks there.
 const OWN: usize = 4;
@@ -92,7 +94,8 @@
     Ok((socket, address))
 }
 
-/// Descriptors that a rehearsal needs, reckoned: of its own process, and of the largest one with hollow nodes.
+/// Descriptors that a rehearsal needs, reckoned: of its own process, and of the largest one with hollow
+/// nodes.
 pub fn descriptors(plan: &ScalePlan) -> (usize, usize) {
     let hollow = plan.nodes.saturating_sub(plan.real + plan.voters);
     let regions = 3;
@@ -174,7 +177,8 @@
         Ok(())
     }
 
-    /// What is the same in the settings of all nodes of a region: members and voters, to the end of the fleet's.
+    /// What is the same in the settings of all nodes of a region: members and voters, to the end of the
+    /// fleet's.
     pub(super) fn tail(&self, links: &Links, region: usize) -> io::Result<String> {
         let mut text = "(members".to_owned();
         for place in &self.places {
--- a/crates/lemoncleat-lab/src/scale/mod.rs
+++ b/crates/lemoncleat-lab/src/scale/mod.rs
@@ -1,8 +1,11 @@
-//! A rehearsal of a large fleet: a few real processes with real calls beside many *hollow* nodes, which run the
+//! A rehearsal of a large fleet: a few real processes with real calls beside many *hollow* nodes, which run
+//! the
 //! whole product over real sockets, many to a process, and get no calls.
 //!
-//! Hollow nodes are held by the command `lemoncleat hollow`, one process a rack, which takes orders on its standard
-//! input ([`Order`]) and answers each with one line. Links between regions pass the stage's relay, so that a region
+//! Hollow nodes are held by the command `lemoncleat hollow`, one process a rack, which takes orders on its
+//! standard
+//! input ([`Order`]) and answers each with one line. Links between regions pass the stage's relay, so that a
+//! region
 //! can be cut off. What is measured is set against [`Budget`]s; what must hold is a [`Check`].
 
 mod figures;
--- a/crates/lemoncleat-lab/src/scale/play.rs
+++ b/crates/lemoncleat-lab/src/scale/play.rs
@@ -33,7 +33,8 @@
 const SAMPLE: Duration = Duration::from_secs(1);
 /// Calls that a stand-in server can carry, a second.
 const CAPACITY: f64 = 400.0;
-/// The operators' limits, of a node: share of a core in microseconds a second, memory, bytes a second, and how soon
+/// The operators' limits, of a node: share of a core in microseconds a second, memory, bytes a second, and
+/// how soon
 /// all are at one, in milliseconds.
 const PROCESSOR: f64 = 26_000.0;
 const MEMORY: f64 = 128.0 * 1024.0 * 1024.0;
@@ -159,7 +160,12 @@
         for host in &up {
             self.hosts[*host].say(order)?;
         }
-        up.into_iter().map(|host| Ok((host, self.hosts[host].hear()?))).collect()
+        let mut answers = Vec::new();
+        for host in up {
+            self.heed()?;
+            answers.push((host, self.hosts[host].hear()?));
+        }
+        Ok(answers)
     }
 
     /// Takes a sample of all nodes, once a second.
@@ -190,6 +196,7 @@
         for site in self.sites() {
             // One that is down has no figures.
             let Ok(threads) = processor_of_threads(site.id) else { continue };
+            self.heed()?;
             let members = ask(site.control, &json!({"op": "members"})).ok();
             let sample = Sample {
                 at: now_us(),
@@ -472,7 +479,8 @@
         Ok(())
     }
 
-    /// Changes of configuration, one after another, the second with a rack paused and the third with a region cut.
+    /// Changes of configuration, one after another, the second with a rack paused and the third with a region
+    /// cut.
     fn changes(&mut self, phase: &mut PhaseReport) -> io::Result<()> {
         let mut spread = Vec::new();
         let mut parent = 0;
@@ -482,7 +490,8 @@
                 self.host_down(host, HostState::Paused)?;
             }
             let text = format!("(attempts {})\n", 3 + number % 2);
-            let order = json!({"op": "configure", "order": format!("change{number}"), "parent": parent, "text": text});
+            let order = format!("change{number}");
+            let order = json!({"op": "configure", "order": order, "parent": parent, "text": text});
             let sites = self.sites();
             let site = sites.choose(&mut self.random).cloned();
             let answer = ask(site.and_then(|site| site.control), &order)?;
@@ -700,11 +709,13 @@
     }
 }
 
-/// Plays a rehearsal. `told` hears a line for each thing that happens. All processes have ended when it returns.
+/// Plays a rehearsal. `told` hears a line for each thing that happens. All processes have ended when it
+/// returns.
 ///
 /// # Errors
 ///
-/// When the plan makes no sense or the system has too few descriptors for it, a process can't be started or steered,
+/// When the plan makes no sense or the system has too few descriptors for it, a process can't be started or
+/// steered,
 /// nothing is agreed any more, or it is told to stop.
 pub fn rehearse_scale(plan: &ScalePlan, told: &mut dyn FnMut(&str)) -> io::Result<ScaleReport> {
     let load_before = load_now();
--- a/crates/lemoncleat-lab/src/scale/report.rs
+++ b/crates/lemoncleat-lab/src/scale/report.rs
@@ -63,7 +63,8 @@
     pub name: String,
     /// How long it took, in milliseconds.
     pub took_ms: u64,
-    /// What happened in it and how long the fleet then took to be at one, in milliseconds; none where it never was.
+    /// What happened in it and how long the fleet then took to be at one, in milliseconds; none where it
+    /// never was.
     pub at_one_ms: Vec<(String, Option<u64>)>,
     /// From agreed to in force at each node, in milliseconds, for changes of configuration.
     pub in_force_ms: Option<Distribution>,
--- a/crates/lemoncleat-lab/src/stage/process.rs
+++ b/crates/lemoncleat-lab/src/stage/process.rs
@@ -79,7 +79,8 @@
 }
 
 impl Process {
-    /// Starts it, with a settings file `settings`, a directory `disk` of its own in which it runs, and a copy of
+    /// Starts it, with a settings file `settings`, a directory `disk` of its own in which it runs, and a copy
+    /// of
     /// its standard error in `log`, all in the folder.
     ///
     /// # Errors
@@ -89,7 +90,8 @@
         Process::begin(name, program, folder, settings, false)
     }
 
-    /// As [`Process::start`], for one that takes orders on its standard input ([`Process::say`]) and ends when that
+    /// As [`Process::start`], for one that takes orders on its standard input ([`Process::say`]) and ends
+    /// when that
     /// closes.
     ///
     /// # Errors
