--- a/crates/lemoncleat-commons/tests/members.rs
+++ b/crates/lemoncleat-commons/tests/members.rs
@@ -21,7 +21,8 @@
 
 fn part(own: usize, of: &[usize], voters: &[usize], seed: u64) -> Part {
     let voters = voters.iter().map(|at| name(*at)).collect();
-    let settings = Settings { own: name(own), members: members(of), voters, round: 200 * MS, configuration: false };
+    let settings =
+        Settings { own: name(own), members: members(of), voters, round: 200 * MS, configuration: false };
     Part::new(&settings, Seat::Follower, 1, seed).expect("good settings")
 }
 
