--- a/crates/lemoncleat-agreement/src/voter.rs
+++ b/crates/lemoncleat-agreement/src/voter.rs
@@ -20,8 +20,10 @@
 const MAX_PROPOSALS: usize = 1024;
 /// Outputs that wait for the disk, before the voter hears nothing more.
 const MAX_HELD: usize = 8192;
-/// Bytes of commands in one message.
-const MAX_JOINED: usize = 1024 * 1024;
+/// Bytes of commands in one message, but for the last of them: a carrier takes half a MiB.
+const MAX_JOINED: usize = 256 * 1024;
+/// Bytes of commands that wait to be agreed at a leader.
+const MAX_UNCOMMITTED: u64 = 16 * 1024 * 1024;
 /// Bytes of commands in an answer to a follower.
 const MAX_LEARNED: usize = 256 * 1024;
 /// After how many election times nothing more is hoped of a proposal.
@@ -103,7 +105,7 @@
             max_inflight_msgs: 64,
             check_quorum: true,
             pre_vote: true,
-            max_uncommitted_size: 16 * MAX_JOINED as u64,
+            max_uncommitted_size: MAX_UNCOMMITTED,
             max_committed_size_per_ready: MAX_JOINED as u64,
             ..Config::default()
         };
