Configuration: a copy kept during a trial has a step below the trial's

A node that kept the settled version while a trial ran, and started anew, held the trial's own step without the trial, and so never heard of it: as a canary it was absent. The copy now names the step before.

--- a/crates/lemoncleat-configuration/src/distributor.rs
+++ b/crates/lemoncleat-configuration/src/distributor.rs
@@ -737,7 +737,9 @@
             return;
         }
         let Some(packed) = self.packed(&version).map(<[u8]>::to_vec) else { return };
-        let kept = Kept { step: self.held.step, version, packed };
+        // The step of a trial is not the settled version's: a node that starts with the copy has to hear of the trial.
+        let step = self.held.step.saturating_sub(u64::from(self.held.trial.is_some()));
+        let kept = Kept { step, version, packed };
         self.copy = Some(version);
         self.keeping = Some(version);
         out.push(Output::Keep(kept.to_bytes()));
