--- a/crates/lemoncleat-cli/src/args.rs
+++ b/crates/lemoncleat-cli/src/args.rs
@@ -141,6 +141,9 @@
     /// Play the nodes' parts in a fleet in place of calls: who is there, facts, and the agreed log.
     #[arg(long)]
     pub fleet: bool,
+    /// Give every such fleet a configuration that operators change, not half of them.
+    #[arg(long, requires = "fleet")]
+    pub configuration: bool,
     /// How many nodes such a fleet has, 3 to 1,024.
     #[arg(long, default_value_t = 9, requires = "fleet", value_parser = clap::value_parser!(u32).range(3..=1_024))]
     pub nodes: u32,
--- a/crates/lemoncleat-cli/src/simulate.rs
+++ b/crates/lemoncleat-cli/src/simulate.rs
@@ -187,8 +187,18 @@
 
 // ---- Fleets ----
 
-fn one_fleet(seed: u64, args: &SimulateArgs) -> Result<(), Failure> {
+/// What a seed draws, with a configuration if every fleet is to have one.
+fn draw(seed: u64, args: &SimulateArgs) -> fleet::Plan {
     let plan = fleet::Plan::draw(seed, args.nodes as usize);
+    if args.configuration {
+        plan.configured()
+    } else {
+        plan
+    }
+}
+
+fn one_fleet(seed: u64, args: &SimulateArgs) -> Result<(), Failure> {
+    let plan = draw(seed, args);
     let seconds = |at: i64| at as f64 / 1e6;
     println!(
         "seed {seed}: {} nodes, {} voters, rounds of {:.1} s, links {} to {} us, watchdogs {:.1} s, calm at {:.3} s",
@@ -227,7 +237,7 @@
         seconds(outcome.time),
         outcome.digest
     );
-    tempted(&outcome.counts);
+    tempted(&outcome.counts, &outcome.versions);
     let Some((step, why)) = outcome.finding else {
         println!(
             "every law kept, whole again {:.1} s after the last fault",
@@ -243,7 +253,7 @@
     Err(Failure::Told)
 }
 
-fn tempted(counts: &fleet::Counts) {
+fn tempted(counts: &fleet::Counts, versions: &fleet::VersionCounts) {
     println!(
         "{} entries agreed and {} applied again, {} orders answered, {} not in time, {} without a quorum, {} promises \
          compared with disks, {} batches lost or refused, {} facts looked at, {} words of {} bytes",
@@ -258,23 +268,40 @@
         counts.words,
         counts.bytes
     );
+    if versions.starts == 0 {
+        return;
+    }
+    println!(
+        "configuration: {} changes agreed and {} refused, {} for all, {} objections that all could hear, {} taken back, \
+         {} starts, {} copies torn or not kept, {} wrong chunks; after the last fault all at one within {:.1} s",
+        versions.agreed,
+        versions.refused,
+        versions.for_all,
+        versions.objections,
+        versions.taken_back,
+        versions.starts,
+        versions.copies_lost,
+        versions.wrong_chunks,
+        versions.slowest as f64 / 1e6
+    );
 }
 
 fn many_fleets(args: &SimulateArgs) -> Result<(), Failure> {
     let start = Instant::now();
     let nodes = args.nodes as usize;
     let (mut played, mut steps, mut time, mut longest) = (0_u64, 0_u64, 0.0, 0);
-    let mut counts = fleet::Counts::default();
+    let (mut counts, mut versions) = (fleet::Counts::default(), fleet::VersionCounts::default());
     let mut found = BTreeMap::new();
     seeds(
         args,
-        |seed| fleet::play(&fleet::Plan::draw(seed, nodes), None),
+        |seed| fleet::play(&draw(seed, args), None),
         |seed, outcome| {
             played += 1;
             steps += outcome.steps;
             time += outcome.time as f64 / 1e6;
             longest = longest.max(outcome.healed.unwrap_or(0));
             counts.add(&outcome.counts);
+            versions.add(&outcome.versions);
             if let Some(finding) = outcome.finding {
                 found.insert(seed, finding);
             }
@@ -288,7 +315,7 @@
         played as f64 * 60.0 / took,
         longest as f64 / 1e6
     );
-    tempted(&counts);
+    tempted(&counts, &versions);
     for (seed, (step, why)) in found.iter().take(LISTED) {
         println!("seed {seed}, step {step}: {why}");
     }
--- a/crates/lemoncleat-simulate/src/fleet/judge.rs
+++ b/crates/lemoncleat-simulate/src/fleet/judge.rs
@@ -178,11 +178,8 @@
                 return Err(format!("{order} stands at {before} and at {index}"));
             }
         }
-        // To be agreed, it was said by one voter to a majority, and they answered, since it was asked for.
-        let talked = |a: usize, b: usize| self.heard.get(&(a, b)).is_some_and(|said| said >= since);
-        let reaches =
-            |voter: usize| (0..self.voters).filter(|to| talked(voter, *to) && talked(*to, voter)).count();
-        if (0..self.voters).all(|voter| reaches(voter) < self.voters / 2) {
+        let since = *since;
+        if !self.quorum(since) {
             return Err(format!("{order} was agreed at {index} of node {node} without a quorum"));
         }
         self.counts.agreed += 1;
@@ -190,6 +187,14 @@
         Ok(())
     }
 
+    /// To be agreed, it was said by one voter to a majority, and they answered, since it was asked for.
+    pub fn quorum(&self, since: Micros) -> bool {
+        let talked = |a: usize, b: usize| self.heard.get(&(a, b)).is_some_and(|said| *said >= since);
+        let reaches =
+            |voter: usize| (0..self.voters).filter(|to| talked(voter, *to) && talked(*to, voter)).count();
+        (0..self.voters).any(|voter| reaches(voter) >= self.voters / 2)
+    }
+
     /// A node answered an operator; its marks were read before.
     pub fn answer(&mut self, node: usize, answer: &Value) -> Broken {
         let order = answer["order"].as_str().unwrap_or("");
@@ -333,6 +338,21 @@
 const DIRECT: u32 = 9;
 const AGREEMENT: u32 = 0;
 
+/// The errand that is the configuration's, and of its words the one that carries a part of a text.
+const CONFIGURATION: u32 = 4;
+const CHUNK: u32 = 4;
+
+/// Where in a word the last byte of a text's part is, if it carries one.
+pub(super) fn chunk_end(word: &[u8]) -> Option<usize> {
+    let (_, rest) = postcard::take_from_bytes::<Header>(word).ok()?;
+    let (body, rest) = postcard::take_from_bytes::<u32>(rest).ok()?;
+    let (errand, after) = postcard::take_from_bytes::<&[u8]>(rest).ok().filter(|_| body == DIRECT)?;
+    let (kind, rest) = postcard::take_from_bytes::<u32>(errand).ok()?;
+    let bytes = postcard::from_bytes::<&[u8]>(rest).ok().filter(|_| kind == CONFIGURATION)?;
+    let (said, _) = postcard::take_from_bytes::<u32>(bytes).ok()?;
+    (said == CHUNK).then(|| word.len() - after.len() - 1)
+}
+
 fn engine_word(word: &[u8]) -> Option<Said> {
     let (_, rest) = postcard::take_from_bytes::<Header>(word).ok()?;
     let (body, rest) = postcard::take_from_bytes::<u32>(rest).ok()?;
--- a/crates/lemoncleat-simulate/src/fleet/mod.rs
+++ b/crates/lemoncleat-simulate/src/fleet/mod.rs
@@ -2,13 +2,16 @@
 //! and more, connections that delay, hold back and end, operators with marks, and faults. A seed draws all of it; laws
 //! are judged at each step by code that shares nothing with the cores.
 
+mod changes;
 mod judge;
 mod links;
 mod plan;
 mod run;
+mod versions;
 
 pub use judge::Counts;
 pub use plan::{Fault, FaultKind, Plan};
+pub use versions::VersionCounts;
 
 use crate::Micros;
 
@@ -27,6 +30,8 @@
     pub healed: Option<Micros>,
     /// How often each law was tempted.
     pub counts: Counts,
+    /// The same of the laws of the configuration.
+    pub versions: VersionCounts,
 }
 
 /// Plays a plan to its end, or to the step at which a law is broken. `told` hears a line of each event.
--- a/crates/lemoncleat-simulate/src/fleet/plan.rs
+++ b/crates/lemoncleat-simulate/src/fleet/plan.rs
@@ -4,6 +4,7 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 
+use super::changes::Changes;
 use crate::Micros;
 
 const SECOND: Micros = 1_000_000;
@@ -49,6 +50,12 @@
     DiskFull,
     /// The disk takes up to three seconds for each batch.
     DiskSlow,
+    /// Texts of the configuration that the node serves are wrong.
+    WrongText,
+    /// All processes of the node's zone are killed, and started again at once.
+    ZoneKill,
+    /// As a kill, and the node's copy of the configuration is torn.
+    CopyTorn,
 }
 
 const KINDS: [FaultKind; 18] = [
@@ -114,10 +121,12 @@
     /// When the last fault ends.
     pub calm: Micros,
     pub(crate) orders: Vec<Order>,
+    /// Changes of the configuration; none where there is none.
+    pub(crate) changes: Option<Changes>,
 }
 
 impl Plan {
-    /// What a seed draws for this many nodes, at least 3.
+    /// What a seed draws for this many nodes, at least 3. Half of the seeds have a configuration.
     pub fn draw(seed: u64, nodes: usize) -> Plan {
         let nodes = nodes.max(3);
         let mut random = SmallRng::seed_from_u64(seed ^ 0x666c_6565_7400);
@@ -160,6 +169,21 @@
                 orders.push(Order { at: (at + later).min(calm), node, number });
             }
         }
-        Plan { seed, nodes, voters, round, delay, watchdog, faults, calm, orders }
+        let changes = None;
+        let plan = Plan { seed, nodes, voters, round, delay, watchdog, faults, calm, orders, changes };
+        if SmallRng::seed_from_u64(seed ^ 0x0073_7761_726d_0000).random() {
+            plan.configured()
+        } else {
+            plan
+        }
+    }
+
+    /// The same with a configuration that operators change, if it has none.
+    pub fn configured(mut self) -> Plan {
+        if self.changes.is_none() {
+            let changes = Changes::draw(self.seed, self.nodes, (WARM, self.calm), &mut self.faults);
+            self.changes = Some(changes);
+        }
+        self
     }
 }
--- a/crates/lemoncleat-simulate/src/fleet/run.rs
+++ b/crates/lemoncleat-simulate/src/fleet/run.rs
@@ -6,14 +6,16 @@
 use std::sync::Arc;
 
 use lemoncleat_agreement::{Batch, Found};
-use lemoncleat_commons::{Figures, Part, Said, Seat, Settings};
+use lemoncleat_commons::{Calls, Figures, Part, Said, Seat, Settings};
 use lemoncleat_fleet::{Member, MemberId};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use super::judge::{Broken, Judge};
+use super::changes::{number_of, Harm, Unusable, GOOD};
+use super::judge::{chunk_end, Broken, Judge};
 use super::links::{Item, Links};
 use super::plan::{Fault, FaultKind, Plan};
+use super::versions::{Versions, BOUND};
 use super::Outcome;
 use crate::Micros;
 
@@ -29,6 +31,13 @@
 const DISK: (Micros, Micros) = (500, 20_000);
 /// The number of the first of the last orders.
 const LAST: u32 = 1_000_000;
+/// After faults, what links and voters take beyond the watchdogs until all can talk: dialling anew, an election.
+const TALK: Micros = 6 * SECOND;
+/// How long a driver takes to put a text in force.
+const APPLY: Micros = 5_000;
+/// Connections of operators that change the configuration, and of those that ask for it.
+const CHANGES: u64 = 1 << 40;
+const QUESTIONS: u64 = 1 << 41;
 
 /// What comes to a process.
 #[derive(Debug)]
@@ -38,6 +47,11 @@
     Heard { from: usize, said: Micros, bytes: Vec<u8> },
     Stored(u64, Result<(), String>),
     Order(u32),
+    Found(Result<Option<Vec<u8>>, String>),
+    Configured(u64, Result<(), String>),
+    Kept(Result<(), String>),
+    Change { number: u32, parent: u64 },
+    Question,
 }
 
 #[derive(Debug)]
@@ -68,6 +82,19 @@
     /// A flapping node's links change.
     Flap(usize),
     Order(usize),
+    Change(usize),
+    Configured {
+        node: usize,
+        life: u32,
+        number: u64,
+        text: String,
+        usable: bool,
+    },
+    Kept {
+        node: usize,
+        life: u32,
+    },
+    LastChange,
     Look,
     Calm,
     StartAnew,
@@ -109,6 +136,38 @@
     backlog: Vec<Input>,
     wants: BTreeSet<usize>,
     armed: Option<Micros>,
+    /// The copy of the configuration on its disk, and the one that is being written.
+    copy: Result<Option<Vec<u8>>, String>,
+    keeping: Option<Vec<u8>>,
+    calls: Traffic,
+}
+
+/// A node's calls since its start.
+#[derive(Clone, Copy)]
+struct Traffic {
+    upto: Micros,
+    harm: Harm,
+    /// Calls, those refused and those lost, in millionths.
+    calls: u64,
+    refused: u64,
+    lost: u64,
+}
+
+impl Traffic {
+    fn new(now: Micros) -> Traffic {
+        Traffic { upto: now, harm: Harm::None, calls: 0, refused: 0, lost: 0 }
+    }
+
+    /// Of so many a second one in a hundred is refused and one lost; by a bad text half.
+    fn run(&mut self, now: Micros, rate: u64) -> Calls {
+        let more = (now - self.upto) as u64 * rate;
+        self.upto = now;
+        self.calls += more;
+        self.refused += more / if self.harm == Harm::Refused { 2 } else { 100 };
+        self.lost += more / if self.harm == Harm::Lost { 2 } else { 100 };
+        let whole = |millionths: u64| millionths / 1_000_000;
+        Calls { calls: whole(self.calls), refused: whole(self.refused), lost: whole(self.lost) }
+    }
 }
 
 pub(super) struct Run<'a> {
@@ -132,6 +191,18 @@
     /// The last orders: those not yet answered.
     last: Option<BTreeSet<usize>>,
     healed: Option<Micros>,
+    versions: Option<Versions>,
+    /// Faults under way, and since when there are none.
+    troubles: usize,
+    quiet: Micros,
+    /// Who was first asked to use a text that the first can't use.
+    first: BTreeMap<u32, usize>,
+    /// The last change: its number and node until it is agreed.
+    last_change: Option<(u32, usize)>,
+    /// When all had the newest version, while they have.
+    at_one: Option<Micros>,
+    /// The last question and its answer.
+    question: Option<bool>,
 }
 
 impl<'a> Run<'a> {
@@ -152,8 +223,14 @@
             backlog: Vec::new(),
             wants: BTreeSet::new(),
             armed: None,
+            copy: Ok(None),
+            keeping: None,
+            calls: Traffic::new(0),
         };
         let nodes = (0..plan.nodes).map(node).collect();
+        let members: Vec<Member> = (0..plan.nodes).map(member).collect();
+        let names: Vec<&str> = members.iter().map(|member| &*member.name).collect();
+        let versions = plan.changes.as_ref().map(|_| Versions::new(&names, 3));
         Run {
             plan,
             told,
@@ -163,7 +240,7 @@
             number: 0,
             queue: BinaryHeap::new(),
             events: BTreeMap::new(),
-            members: (0..plan.nodes).map(member).collect(),
+            members,
             nodes,
             links: Links::default(),
             active: BTreeSet::new(),
@@ -172,6 +249,13 @@
             calm: None,
             last: None,
             healed: None,
+            versions,
+            troubles: 0,
+            quiet: 0,
+            first: BTreeMap::new(),
+            last_change: None,
+            at_one: None,
+            question: None,
             random,
         }
     }
@@ -187,6 +271,9 @@
         for (place, order) in self.plan.orders.iter().enumerate() {
             self.at(order.at, Event::Order(place));
         }
+        for (place, change) in self.plan.changes.iter().flat_map(|changes| &changes.changes).enumerate() {
+            self.at(change.at, Event::Change(place));
+        }
         // After the faults that end at the same moment.
         self.at(self.plan.calm + 1, Event::Calm);
         self.at(SECOND, Event::Look);
@@ -207,6 +294,7 @@
             digest: self.digest,
             healed: self.healed,
             counts: self.judge.counts,
+            versions: self.versions.map(|versions| versions.counts).unwrap_or_default(),
         }
     }
 
@@ -276,6 +364,15 @@
                 let order = &self.plan.orders[place];
                 self.order(order.node, order.number);
             }
+            Event::Change(place) => self.change(place),
+            Event::Configured { node, life, number, text, usable } => {
+                if self.nodes[node].life == life {
+                    self.configured(node, number, &text, usable);
+                }
+            }
+            Event::Kept { node, life } if self.nodes[node].life == life => self.kept(node),
+            Event::Kept { .. } => {}
+            Event::LastChange => self.order_last_change(),
             Event::Look => self.look(),
             Event::Calm => self.be_calm(),
             Event::StartAnew => {
@@ -283,6 +380,7 @@
                 self.tell(|| format!("n{node} is started anew"));
                 self.kill(node);
                 self.start(node, false);
+                self.quiet = self.now;
             }
             Event::LastOrders => {
                 self.last = Some((0..self.nodes.len()).collect());
@@ -305,7 +403,7 @@
             members: self.members.clone(),
             voters: self.members[..self.plan.voters].iter().map(|member| member.name.clone()).collect(),
             round: self.plan.round,
-            configuration: false,
+            configuration: self.versions.is_some(),
         };
         let seat = node.disk.clone().map_or(Seat::Follower, Seat::Voter);
         match Part::new(&settings, seat, node.start, seed) {
@@ -318,6 +416,15 @@
             self.breaks(format!("node {place} can't use its store: {why}"));
         }
         self.judge.started(place, back);
+        if let Some(versions) = &mut self.versions {
+            versions.started(self.now, place);
+            if self.nodes[place].paused > 0 {
+                versions.disturbed(place);
+            }
+            self.nodes[place].calls = Traffic::new(self.now);
+            let copy = self.nodes[place].copy.clone();
+            self.give(place, Input::Found(copy));
+        }
         self.give(place, Input::Turn);
     }
 
@@ -336,6 +443,15 @@
                 disk.apply(&batch);
             }
         }
+        // A copy takes the place of the one before whole, or not at all.
+        if let Some(copy) = node.keeping.take() {
+            if self.random.random() {
+                node.copy = Ok(Some(copy));
+            }
+        }
+        if let Some(versions) = &mut self.versions {
+            versions.ended(place);
+        }
         for conn in self.links.of(place) {
             self.lose(conn, place);
         }
@@ -354,6 +470,9 @@
         let turn = catch_unwind(AssertUnwindSafe(|| {
             match &input {
                 Input::Turn => {
+                    if let Some(changes) = &self.plan.changes {
+                        part.calls(node.calls.run(now, changes.calls));
+                    }
                     part.timeout(local, Figures { calls: now as u64, ..Figures::default() }, &mut said);
                 }
                 Input::Linked(to, linked) => part.linked(local, *to, *linked, &mut said),
@@ -363,6 +482,20 @@
                     let (order, text) = words(*number);
                     part.mark(local, u64::from(*number), &order, &text, &mut said);
                 }
+                Input::Found(copy) => part.found(local, copy.clone(), &mut said),
+                Input::Configured(number, result) => {
+                    part.configured(local, *number, result.clone(), &mut said);
+                }
+                Input::Kept(result) => part.kept(local, result.clone(), &mut said),
+                Input::Change { number, parent } => {
+                    let (order, text) =
+                        self.plan.changes.as_ref().map(|all| all.words(*number)).unwrap_or_default();
+                    let conn = CHANGES + u64::from(*number);
+                    part.configure(local, conn, &order, *parent, &text, &mut said);
+                }
+                Input::Question => {
+                    part.configurations(local, QUESTIONS, &mut said);
+                }
             }
             part
         }));
@@ -370,6 +503,7 @@
         // One that is no voter learns by words alone.
         let may_have_learned = place < self.plan.voters || matches!(input, Input::Heard { .. });
         let shown = may_have_learned.then(|| part.marks(self.judge.seen(place))).flatten();
+        let status = self.versions.as_ref().and_then(|_| part.configuration(local));
         let wake = part.wake();
         self.nodes[place].part = Some(part);
         match &input {
@@ -381,12 +515,20 @@
                 self.tell(|| format!("n{place} heard n{from}: {length} bytes of {:.6}", said as f64 / 1e6));
             }
             Input::Turn => self.digest(&[place as u8]),
+            Input::Found(copy) => {
+                let length = copy.clone().map(|copy| copy.map(|copy| copy.len()));
+                self.tell(|| format!("n{place} has a copy of {length:?} bytes"));
+            }
             other => self.tell(|| format!("n{place} {other:?}")),
         }
         if let Some(shown) = shown {
             let law = self.judge.marks(place, &shown);
             self.holds(law);
         }
+        if let (Some(status), Some(versions)) = (status, &mut self.versions) {
+            let law = versions.status(now, place, &status);
+            self.holds(law);
+        }
         self.arm(place, wake);
         for said in said {
             self.said(place, said);
@@ -427,6 +569,22 @@
                 }
                 self.after(span, Event::Stored { node: place, life });
             }
+            Said::Configure { number, text } => self.configure(place, number, text),
+            Said::Keep(bytes) => {
+                let slow = self.has(FaultKind::DiskSlow, place);
+                let span = self.random.random_range(DISK.0..DISK.1) + if slow { SECOND } else { 0 };
+                if self.nodes[place].keeping.replace(bytes).is_some() {
+                    self.breaks(format!("node {place} keeps two copies at once"));
+                }
+                self.after(span, Event::Kept { node: place, life });
+            }
+            Said::Settled => {
+                self.tell(|| format!("n{place} has decided what is in force"));
+                let law = self.versions.as_mut().map_or(Ok(()), |versions| versions.settled(place));
+                self.holds(law);
+            }
+            Said::Answer(QUESTIONS, answer) => self.answered_question(place, &answer),
+            Said::Answer(conn, answer) if conn >= CHANGES => self.answered_change(place, conn, &answer),
             Said::Answer(number, answer) => {
                 self.tell(|| format!("n{place} answers {answer}"));
                 let law = self.judge.answer(place, &answer);
@@ -457,6 +615,197 @@
         self.give(place, Input::Stored(batch.number, result));
     }
 
+    // ---- The configuration ----
+
+    /// Since when all could talk, if they can.
+    fn all_talk(&self) -> Option<Micros> {
+        let since = self.quiet + 2 * self.plan.watchdog + TALK;
+        (self.troubles == 0 && since <= self.now).then_some(since)
+    }
+
+    fn configure(&mut self, place: usize, number: u64, text: String) {
+        let life = self.nodes[place].life;
+        self.tell(|| format!("n{place} is to use version {number}"));
+        self.digest(&number.to_le_bytes());
+        self.digest(text.as_bytes());
+        let (Some(versions), Some(changes)) = (&mut self.versions, &self.plan.changes) else {
+            return self.breaks(format!("node {place} has a configuration that it was not given"));
+        };
+        if versions.text(number).is_none() {
+            if let Some(since) = versions.asked_since(&text).filter(|since| !self.judge.quorum(*since)) {
+                return self
+                    .breaks(format!("version {number}, asked for at {since}, was agreed without a quorum"));
+            }
+        }
+        let usable = number_of(&text).is_none_or(|change| match changes.unusable(change) {
+            Unusable::Nobody => true,
+            Unusable::First => *self.first.entry(change).or_insert(place) != place,
+            Unusable::Half => !changes.of_half(change, place),
+            Unusable::All => false,
+        });
+        let quiet = self.all_talk();
+        let Some(versions) = &mut self.versions else { return };
+        let law = versions.tried(self.now, place, (number, &text), usable, quiet);
+        self.holds(law);
+        let span = self.random.random_range(0..APPLY);
+        self.after(span, Event::Configured { node: place, life, number, text, usable });
+    }
+
+    fn configured(&mut self, place: usize, number: u64, text: &str, usable: bool) {
+        let quiet = self.all_talk();
+        let now = self.now;
+        if let (true, Some(versions), Some(changes)) = (usable, &mut self.versions, &self.plan.changes) {
+            let harm = number_of(text).map_or(Harm::None, |change| changes.harm(change));
+            self.nodes[place].calls.run(now, changes.calls);
+            self.nodes[place].calls.harm = harm;
+            if harm != Harm::None && changes.calls >= 200 && quiet.is_some() {
+                versions.harms(now, number);
+            }
+        }
+        let result = if usable { Ok(()) } else { Err(format!("line 1: not at n{place}")) };
+        self.give(place, Input::Configured(number, result));
+    }
+
+    fn kept(&mut self, place: usize) {
+        let refuses = self.has(FaultKind::DiskFull, place)
+            || self.has(FaultKind::DiskError, place) && self.random.random();
+        let Some(copy) = self.nodes[place].keeping.take() else { return };
+        let result = if refuses { Err("no space left".to_owned()) } else { Ok(()) };
+        if !refuses {
+            self.nodes[place].copy = Ok(Some(copy));
+        } else if let Some(versions) = &mut self.versions {
+            versions.counts.copies_lost += 1;
+        }
+        self.give(place, Input::Kept(result));
+    }
+
+    /// What a node's copy is after its disk lost a part of it.
+    fn tear(&mut self, place: usize) {
+        let (Ok(Some(mut copy)), Some(versions)) = (self.nodes[place].copy.clone(), &mut self.versions)
+        else {
+            return;
+        };
+        versions.counts.copies_lost += 1;
+        let at = self.random.random_range(0..copy.len().max(1));
+        self.nodes[place].copy = match self.random.random_range(0..4) {
+            0 => Err("input/output error".to_owned()),
+            1 => Ok(None),
+            2 => {
+                copy.truncate(at);
+                Ok(Some(copy))
+            }
+            _ => {
+                copy.iter_mut().skip(at).take(1).for_each(|byte| *byte ^= 0x10);
+                Ok(Some(copy))
+            }
+        };
+    }
+
+    fn change(&mut self, place: usize) {
+        let Some(changes) = &self.plan.changes else { return };
+        let change = changes.changes[place].clone();
+        self.order_change(change.node, change.number, change.stale);
+    }
+
+    fn order_change(&mut self, place: usize, number: u32, stale: bool) {
+        let local = self.nodes[place].clock.local(self.now);
+        let node = &self.nodes[place];
+        let (Some(part), 0, Some(changes)) = (&node.part, node.paused, &self.plan.changes) else { return };
+        let status = part.configuration(local).unwrap_or_default();
+        let in_force = status["in_force"].as_u64().unwrap_or(0);
+        let back = if stale { 1 + u64::from(number % 3) } else { 0 };
+        let (order, text) = changes.words(number);
+        let Some(versions) = &mut self.versions else { return };
+        let parent = versions.asks(self.now, &order, in_force.saturating_sub(back), &text);
+        self.give(place, Input::Change { number, parent });
+    }
+
+    fn answered_change(&mut self, place: usize, conn: u64, answer: &serde_json::Value) {
+        self.tell(|| format!("n{place} answers {answer}"));
+        let Some(versions) = &mut self.versions else { return };
+        let law = versions.answer(place, answer);
+        self.holds(law);
+        let number = (conn - CHANGES) as u32;
+        match &mut self.last_change {
+            Some((last, _)) if *last == number && answer["ok"] == true => *last = 0,
+            Some((last, _)) if *last == number => {
+                *last += 1;
+                self.after(500_000, Event::LastChange);
+            }
+            _ => {}
+        }
+    }
+
+    fn order_last_change(&mut self) {
+        let node = self.random.random_range(0..self.nodes.len());
+        let (number, _) = self.last_change.unwrap_or((GOOD, node));
+        self.last_change = Some((number, node));
+        self.order_change(node, number, false);
+    }
+
+    fn answered_question(&mut self, place: usize, answer: &serde_json::Value) {
+        self.tell(|| format!("n{place} answers {answer}"));
+        let versions = answer["versions"].as_object().into_iter().flatten();
+        let sum: u64 = versions.filter_map(|(_, count)| count.as_u64()).sum();
+        if Some(sum) != answer["answered"].as_u64() || sum > self.nodes.len() as u64 {
+            self.breaks(format!("node {place} counts what does not add up: {answer}"));
+        }
+        self.question = Some(sum == self.nodes.len() as u64);
+    }
+
+    /// What is left until all have the newest version, or can't use it and say so.
+    fn not_at_one(&self) -> Option<String> {
+        let (versions, changes) = (self.versions.as_ref()?, self.plan.changes.as_ref()?);
+        let (newest, trial) = versions.newest();
+        if trial {
+            return Some(format!("version {newest} is still under trial"));
+        }
+        let change = versions.text(newest).and_then(number_of);
+        for (place, node) in self.nodes.iter().enumerate() {
+            let Some(part) = &node.part else { return Some(format!("node {place} does not run")) };
+            let status = part.configuration(node.clock.local(self.now)).unwrap_or_default();
+            if status["in_force"] == newest && status["newest"] == newest {
+                continue;
+            }
+            let unusable = change.is_some_and(|change| match changes.unusable(change) {
+                Unusable::Nobody => false,
+                Unusable::First => self.first.get(&change) == Some(&place),
+                Unusable::Half => changes.of_half(change, place),
+                Unusable::All => true,
+            });
+            if !(unusable && status["newest"] == newest && status["refused"].is_string()) {
+                return Some(format!("node {place} is not at {newest}: {status}"));
+            }
+        }
+        None
+    }
+
+    /// All are at one within the bound after the last fault.
+    fn look_at_versions(&mut self) {
+        let Some(versions) = &self.versions else { return };
+        let law = versions.starts(self.now);
+        let (_, since) = versions.last;
+        self.holds(law);
+        let Some(calm) = self.calm else { return };
+        let from = (calm + START_ANEW).max(calm + 2 * self.plan.watchdog) + TALK;
+        let left = self.not_at_one();
+        if left.is_none() {
+            let from = from.max(since);
+            if self.at_one.is_none() && self.now > from {
+                let took = self.now - from;
+                if let Some(versions) = &mut self.versions {
+                    versions.counts.slowest = versions.counts.slowest.max(took);
+                }
+            }
+            self.at_one.get_or_insert(self.now);
+            return;
+        }
+        self.at_one = None;
+        if let Some(left) = left.filter(|_| self.now > from.max(since) + BOUND) {
+            self.breaks(format!("not at one {} s after the last fault and step: {left}", BOUND / SECOND));
+        }
+    }
+
     fn order(&mut self, place: usize, number: u32) {
         if self.nodes[place].part.is_none() || self.nodes[place].paused > 0 {
             return;
@@ -482,6 +831,20 @@
         })
     }
 
+    /// Whether a fault holds the process down.
+    fn down(&self, node: usize) -> bool {
+        self.active.iter().any(|place| {
+            let fault = &self.plan.faults[*place];
+            match fault.kind {
+                FaultKind::Kill | FaultKind::DiskLost | FaultKind::StartBack | FaultKind::CopyTorn => {
+                    fault.node == node
+                }
+                FaultKind::ZoneKill => fault.node % 3 == node % 3,
+                _ => false,
+            }
+        })
+    }
+
     /// Whether what one says does not arrive at the other.
     fn cut(&self, from: usize, to: usize) -> bool {
         self.active.iter().any(|place| {
@@ -525,7 +888,13 @@
         self.at(second, Event::Arrive { conn: id, side: 1 });
     }
 
-    fn word(&mut self, place: usize, to: usize, bytes: Vec<u8>) {
+    fn word(&mut self, place: usize, to: usize, mut bytes: Vec<u8>) {
+        if self.has(FaultKind::WrongText, place) {
+            if let (Some(end), Some(versions)) = (chunk_end(&bytes), &mut self.versions) {
+                versions.counts.wrong_chunks += 1;
+                bytes.iter_mut().skip(end).take(1).for_each(|byte| *byte ^= 1);
+            }
+        }
         self.judge.counts.words += 1;
         self.judge.counts.bytes += bytes.len() as u64;
         if let (Some(disk), true) = (&self.nodes[place].disk, to < self.plan.voters) {
@@ -657,16 +1026,33 @@
         let Fault { kind, node, .. } = self.plan.faults[place];
         self.tell(|| format!("{kind:?} of n{node} begins"));
         self.active.insert(place);
+        self.troubles += 1;
+        if let Some(versions) = &mut self.versions {
+            if matches!(kind, FaultKind::Pause | FaultKind::Rate | FaultKind::Jump) {
+                versions.disturbed(node);
+            }
+        }
         match kind {
             FaultKind::Reset => {
                 for conn in self.links.of(node) {
                     self.lose(conn, node);
                 }
             }
-            FaultKind::Kill | FaultKind::DiskLost | FaultKind::StartBack => {
+            FaultKind::Kill | FaultKind::DiskLost | FaultKind::StartBack | FaultKind::CopyTorn => {
                 self.kill(node);
-                if kind == FaultKind::DiskLost && node < self.plan.voters {
-                    self.nodes[node].disk = Some(Found::new(self.random.random()));
+                if kind == FaultKind::DiskLost {
+                    self.nodes[node].copy = Ok(None);
+                    if node < self.plan.voters {
+                        self.nodes[node].disk = Some(Found::new(self.random.random()));
+                    }
+                }
+                if kind == FaultKind::CopyTorn {
+                    self.tear(node);
+                }
+            }
+            FaultKind::ZoneKill => {
+                for one in (0..self.nodes.len()).filter(|one| one % 3 == node % 3) {
+                    self.kill(one);
                 }
             }
             FaultKind::Pause => {
@@ -694,15 +1080,21 @@
         let Fault { kind, node, .. } = self.plan.faults[place];
         self.tell(|| format!("{kind:?} of n{node} ends"));
         self.active.remove(&place);
+        self.troubles -= 1;
+        self.quiet = self.now;
         match kind {
-            FaultKind::Kill | FaultKind::DiskLost | FaultKind::StartBack => {
-                let killed = |kind| self.has(kind, node);
-                let still =
-                    killed(FaultKind::Kill) || killed(FaultKind::DiskLost) || killed(FaultKind::StartBack);
-                if self.nodes[node].part.is_none() && !still {
+            FaultKind::Kill | FaultKind::DiskLost | FaultKind::StartBack | FaultKind::CopyTorn => {
+                if self.nodes[node].part.is_none() && !self.down(node) {
                     self.start(node, kind == FaultKind::StartBack);
                 }
             }
+            FaultKind::ZoneKill => {
+                for one in (0..self.nodes.len()).filter(|one| one % 3 == node % 3) {
+                    if self.nodes[one].part.is_none() && !self.down(one) {
+                        self.start(one, false);
+                    }
+                }
+            }
             FaultKind::Pause => {
                 self.nodes[node].paused -= 1;
                 if self.nodes[node].paused == 0 {
@@ -725,7 +1117,8 @@
         let salt: u64 = self.random.random();
         let key = |input: &Input| match input {
             Input::Linked(from, _) | Input::Heard { from, .. } => (*from as u64 + 1).wrapping_mul(salt | 1),
-            Input::Turn | Input::Stored(..) | Input::Order(_) => salt,
+            Input::Found(_) => 0,
+            _ => salt,
         };
         backlog.sort_by_key(key);
         for input in backlog {
@@ -748,6 +1141,10 @@
         self.calm = Some(self.now);
         self.after(START_ANEW, Event::StartAnew);
         self.after(LAST_ORDERS, Event::LastOrders);
+        if self.versions.is_some() {
+            let change = START_ANEW.max(2 * self.plan.watchdog) + TALK;
+            self.after(change, Event::LastChange);
+        }
     }
 
     /// Looks at some views; at the end, whether all is whole.
@@ -768,6 +1165,7 @@
             let law = self.judge.members(self.now, (node, local), &shown, calm);
             self.holds(law);
         }
+        self.look_at_versions();
         let (Some(calm), Some(last)) = (self.calm, &self.last) else { return };
         if !last.is_empty() && self.now <= calm + WHOLE {
             return;
@@ -794,6 +1192,22 @@
                 left.push(format!("node {node} has come to {} of {furthest}", self.judge.seen(node)));
             }
         }
+        if self.versions.is_some() {
+            left.extend(self.not_at_one());
+            match self.last_change {
+                None => left.push("no last change yet".to_owned()),
+                Some((0, _)) => {}
+                Some((number, _)) => left.push(format!("change {number} is not agreed")),
+            }
+        }
+        if left.is_empty() && self.versions.is_some() && self.question != Some(true) {
+            // All is whole: whoever is asked counts all.
+            left.push("who has what in force was not told of all".to_owned());
+            if self.question.is_none() || self.random.random_bool(0.2) {
+                let node = self.random.random_range(0..count);
+                self.give(node, Input::Question);
+            }
+        }
         if left.is_empty() {
             self.healed = Some(self.now - calm);
         } else if self.now > calm + WHOLE {
--- a/crates/lemoncleat-simulate/tests/fleet.rs
+++ b/crates/lemoncleat-simulate/tests/fleet.rs
@@ -1,6 +1,6 @@
 //! Fleets of real parts under the virtual clock, the same seeds each time.
 
-use lemoncleat_simulate::fleet::{play, Counts, Plan};
+use lemoncleat_simulate::fleet::{play, Counts, Plan, VersionCounts};
 
 fn clean(seed: u64, nodes: usize) -> Counts {
     let outcome = play(&Plan::draw(seed, nodes), None);
@@ -37,6 +37,38 @@
     assert_ne!(digest(3), digest(4));
 }
 
+fn configured(seed: u64) -> VersionCounts {
+    let outcome = play(&Plan::draw(seed, 9).configured(), None);
+    let again = format!("play it with: lemoncleat simulate --fleet --configuration --seed {seed} --trace");
+    assert_eq!(outcome.finding, None, "seed {seed}; {again}");
+    outcome.versions
+}
+
+#[test]
+fn a_configuration_keeps_its_laws_and_each_was_tempted() {
+    let mut counts = VersionCounts::default();
+    std::thread::scope(|scope| {
+        let some = |first: u64| scope.spawn(move || (first..first + 5).map(configured).collect::<Vec<_>>());
+        for some in [20, 25, 30, 35].map(some) {
+            some.join().expect("clean seeds").iter().for_each(|some| counts.add(some));
+        }
+    });
+    let tempted = [counts.agreed, counts.refused, counts.for_all, counts.taken_back, counts.starts];
+    assert!(tempted.iter().all(|times| *times > 20), "{counts:?}");
+    assert!(counts.objections > 0 && counts.copies_lost > 0 && counts.wrong_chunks > 0, "{counts:?}");
+    assert!(counts.slowest < 10_000_000, "{counts:?}");
+}
+
+#[test]
+fn a_voter_far_behind_takes_changes_in_words_that_a_carrier_takes() {
+    configured(9);
+}
+
+#[test]
+fn a_node_that_starts_with_a_copy_kept_during_a_trial_hears_of_the_trial() {
+    configured(107);
+}
+
 /// Mistakes planted in the cores, each found within so many seeds.
 #[cfg(feature = "faults")]
 mod planted {
@@ -87,4 +119,48 @@
         fleet::plant(Some(fleet::Plant::Silent));
         found(20, "not whole");
     }
+
+    fn found_in_versions(plant: lemoncleat_configuration::Plant, within: u64, law: &str) {
+        lemoncleat_configuration::plant(Some(plant));
+        let found = |seed: u64| play(&Plan::draw(seed, 9).configured(), None).finding;
+        let first = (0..within).find_map(|seed| Some((seed, found(seed)?.1)));
+        lemoncleat_configuration::plant(None);
+        let (seed, why) = first.unwrap_or_else(|| panic!("not found in {within} seeds: {law}"));
+        assert!(why.contains(law), "{plant:?}, seed {seed}: {why}");
+    }
+
+    #[test]
+    fn an_announcement_of_a_lower_step_is_found() {
+        found_in_versions(lemoncleat_configuration::Plant::LowerStep, 40, "went back from step");
+    }
+
+    #[test]
+    fn a_trial_at_every_node_is_found() {
+        found_in_versions(lemoncleat_configuration::Plant::AllCanaries, 40, "is for all");
+    }
+
+    #[test]
+    fn a_refusal_that_is_not_looked_at_is_found() {
+        found_in_versions(lemoncleat_configuration::Plant::DeafToRefusal, 40, "after an objection");
+    }
+
+    #[test]
+    fn calls_lost_that_are_not_looked_at_are_found() {
+        found_in_versions(lemoncleat_configuration::Plant::DeafToCalls, 40, "after an objection");
+    }
+
+    #[test]
+    fn a_take_back_without_a_step_is_found() {
+        found_in_versions(lemoncleat_configuration::Plant::StepLess, 40, "is still under trial");
+    }
+
+    #[test]
+    fn a_number_used_again_is_found() {
+        found_in_versions(lemoncleat_configuration::Plant::NumberAgain, 40, "two texts");
+    }
+
+    #[test]
+    fn neighbours_that_are_told_nothing_are_found() {
+        found_in_versions(lemoncleat_configuration::Plant::Mute, 40, "not at one");
+    }
 }
