--- a/crates/lemoncleat-service/src/control.rs
+++ b/crates/lemoncleat-service/src/control.rs
@@ -1,7 +1,8 @@
 //! The control port: one JSON object a line in, one out, for operators on the node's own machine.
 //!
 //! `{"op":"list"}`, `{"op":"circuits","server":S}`, and `{"op":"block"|"unblock"|"reset"|"audit","server":S,
-//! "first":N,"count":N,"hardware":BOOL}`, and `{"op":"renew"}` for a new certificate. In a fleet `{"op":"members"}`,
+//! "first":N,"count":N,"hardware":BOOL}`, and `{"op":"renew"}` for a new certificate. `{"op":"spent"}` tells
+//! the messages and bytes of control sent and received since the start. In a fleet `{"op":"members"}`,
 //! `{"op":"agreement"}`, `{"op":"mark","order":O,"text":T}` (answered once it is agreed) and `{"op":"marks","after":N}`.
 //! Where the fleet has one configuration for all, `{"op":"configure","order":O,"parent":N,"text":T}` (answered once it is
 //! agreed, or refused), `{"op":"configuration"}` and `{"op":"configurations"}` (answered when the fleet was asked). The
@@ -29,6 +30,7 @@
     Reset,
     Audit,
     Renew,
+    Spent,
     Members,
     Agreement,
     Mark,
@@ -110,6 +112,16 @@
             }
             None => json!({"ok": false, "error": "this node's certificates do not come by ACME"}),
         },
+        Op::Spent => {
+            let stats = at.node.stats();
+            json!({
+                "ok": true,
+                "control_sent_messages": stats.control_sent_messages,
+                "control_sent_bytes": stats.control_sent_bytes,
+                "control_received_messages": stats.control_received_messages,
+                "control_received_bytes": stats.control_received_bytes,
+            })
+        }
         Op::Members | Op::Agreement | Op::Mark | Op::Marks => return ask_fleet(at, &order, said),
         Op::Configure | Op::Configuration | Op::Configurations => return configuration(at, order, said),
         _ => carry_out(at.node, at.now, &order, out)
