--- a/crates/lemoncleat-lab/src/capacity/tables.rs
+++ b/crates/lemoncleat-lab/src/capacity/tables.rs
@@ -140,7 +140,12 @@
         FLEET,
     ),
     role(DIAMETER, "state: servers known", None, "lemoncleat, `state.rs`; a view by service is *missing*"),
-    role(DIAMETER, "state: configuration of the whole fleet", None, "*missing*"),
+    role(
+        DIAMETER,
+        "state: configuration of the whole fleet",
+        None,
+        "lemoncleat-configuration, `distributor.rs`, and lemoncleat-node, `node/configure.rs`",
+    ),
     role(
         DIAMETER,
         "messages",
