--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -125,6 +125,7 @@
         self.gone = False  # the machine has vanished
         self.listener = None
         self.tasks = set()
+        self.before_answer = None  # called with (server, message, connection) before an answer is made
         self.spoil = None  # called with (server, message, answer bytes); returns the pieces and pauses to write
 
     async def listen(self, addresses):
@@ -155,7 +156,9 @@
         if self.gone or conn not in self.conns:
             return False
         if what:
-            self.record(self.name, f"sends {what} on connection {conn.number}")
+            self.record(self.name, f"sends {what} on connection {conn.number}" + (", lost" if conn.dead else ""))
+        if conn.dead:
+            return True
         conn.writer.write(data)
         return True
 
@@ -179,6 +182,7 @@
         if self.gone:
             return
         conn = type("Conn", (), {})()
+        conn.dead = False  # open for this server, but nothing gets through any more
         CallServer.count = getattr(CallServer, "count", 0) + 1
         conn.number, conn.slot, conn.reader, conn.writer = CallServer.count, slot, reader, writer
         self.conns.append(conn)
@@ -188,7 +192,7 @@
             self.send_release(conn, call, cause)
         while True:
             message = await read_message(reader)
-            if self.gone:
+            if self.gone or conn.dead:
                 await asyncio.Event().wait()  # the connection stays open and silent
             if message is None:
                 break
@@ -226,6 +230,8 @@
     async def answer(self, conn, message):
         await asyncio.sleep(self.answer_after)
         call = message.id
+        if self.before_answer:
+            self.before_answer(self, message, conn)
         self.open.pop(call, None)
         body = description(self.answer_lines)
         self.made.setdefault(call, []).append(body)
@@ -259,6 +265,17 @@
         self.send_release(conn, call, cause)
         self.untold.setdefault(slot, {})[call] = cause
 
+    def end_process(self):
+        """The process ends: its connections are reset, and what stood there is cut."""
+        self.record(self.name, "ends; its connections are reset")
+        for listener in self.listeners:
+            listener.close()
+        for conn in list(self.conns):
+            if not conn.dead:
+                conn.writer.transport.abort()
+        self.standing.clear()
+        self.stop()
+
     def stop(self):
         """Ends what this object still does, after its machine was lost."""
         for task in list(self.tasks):
