Review: loopback addresses in descriptions too, and no node left after SIGHUP

Cause: descriptions of the stand-ins named addresses of 10.4.7.x, as text, and a script that was ended by SIGHUP left its two access nodes and its folder.

--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -102,7 +102,7 @@
 
 def description(lines=()):
     """A description in the form of the protocol page, with a name of its own."""
-    text = [new_id(), f"c=IN IP4 10.4.7.{random.randint(1, 250)}", f"m=audio {random.randint(20000, 40000)} RTP/AVP 0 8 101"]
+    text = [new_id(), f"c=IN IP4 127.0.7.{random.randint(1, 250)}", f"m=audio {random.randint(20000, 40000)} RTP/AVP 0 8 101"]
     return "".join(line + CRLF for line in text + list(lines)).encode()
 
 
@@ -583,8 +583,8 @@
         platform.stop()
         os._exit(2)
 
-    signal.signal(signal.SIGTERM, ended)
-    signal.signal(signal.SIGINT, ended)
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, ended)
     try:
         broken = asyncio.run(asyncio.wait_for(case(record, platform), limit))
         verdict = 1 if broken else 0
