--- /dev/null
+++ b/crates/lemoncleat-access/src/servers/list.rs
@@ -0,0 +1,129 @@
+//! The server list: which servers there are, and at which addresses.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use lemoncleat::{Availability, CallId, Outcome, Reason, Report, ServerId, ServerListUpdate};
+use lemoncleat_platform::ServerNews;
+
+use super::Server;
+use crate::node::AccessNode;
+use crate::timing::REDIAL_PAUSE_US;
+
+impl AccessNode {
+    /// Applies an update of the server list.
+    pub(crate) fn server_list_received(&mut self, news: ServerNews) {
+        let mut members = Vec::new();
+        let mut seen = BTreeSet::new();
+        for endpoint in news.endpoints {
+            let mut listed = endpoint.server;
+            listed.started_at = listed.started_at.map(|at| at - self.epoch);
+            let id = match self.servers.named(&listed.name) {
+                Some(id) => id,
+                None if listed.availability == Availability::Gone => continue,
+                None => self.add_server(&listed.name, endpoint.address),
+            };
+            seen.insert(id);
+            members.push(listed.member(id, &mut self.servers.zones, &mut self.servers.kinds));
+            let Some(server) = self.servers.all.get_mut(&id) else { continue };
+            let restarted = listed.started_at.filter(|_| listed.started_at != server.started_at);
+            server.address = endpoint.address;
+            server.availability = listed.availability;
+            server.started_at = listed.started_at;
+            if let Some(started) = restarted {
+                // A process started at that time holds no earlier calls.
+                self.end_lost_calls(id, started, "its process was restarted");
+            }
+            if listed.availability != Availability::Ready {
+                self.end_waiting_attempts(id);
+            }
+        }
+        if news.complete {
+            let gone: Vec<_> = self.servers.all.keys().filter(|id| !seen.contains(id)).copied().collect();
+            for id in gone {
+                if let Some(server) = self.servers.all.get_mut(&id) {
+                    server.availability = Availability::Gone;
+                }
+                self.end_waiting_attempts(id);
+            }
+        }
+        let all = self.servers.all.values();
+        self.servers.ready_servers = all.filter(|server| server.availability == Availability::Ready).count();
+        self.mark_taken_addresses();
+        if self.tracing {
+            self.log_servers();
+        }
+        let news = if news.complete {
+            ServerListUpdate::Complete(members)
+        } else {
+            ServerListUpdate::Changes(members)
+        };
+        self.queue_member_news(news);
+        for id in self.servers.in_rotated_order() {
+            self.maintain_server(id);
+        }
+    }
+
+    fn add_server(&mut self, name: &str, address: SocketAddr) -> ServerId {
+        let id = ServerId(self.servers.next_server);
+        self.servers.next_server += 1;
+        let server = Server {
+            name: name.to_owned(),
+            address,
+            availability: Availability::Ready,
+            started_at: None,
+            conns: BTreeSet::new(),
+            dials: BTreeSet::new(),
+            standing: 0,
+            pending_releases: Vec::new(),
+            last_connected_at: self.now,
+            last_received_at: self.now,
+            unreachable: false,
+            pause: REDIAL_PAUSE_US.0,
+            next_dial_at: self.now,
+            address_taken: false,
+        };
+        self.servers.all.insert(id, server);
+        self.servers.by_name.insert(name.to_owned(), id);
+        id
+    }
+
+    /// Marks the servers whose address is now used by another server, and stops dialling them there: servers
+    /// that are gone, and servers listed earlier whose end has not been reported yet.
+    fn mark_taken_addresses(&mut self) {
+        let listed_servers =
+            self.servers.all.iter().filter(|(_, server)| server.availability != Availability::Gone);
+        // Of several servers at one address the one started last is kept; if they started together, the one
+        // listed last, since ids ascend.
+        let mut listed_servers: Vec<_> =
+            listed_servers.map(|(id, server)| (server.started_at, *id, server.address)).collect();
+        listed_servers.sort_unstable();
+        let last: BTreeMap<SocketAddr, ServerId> =
+            listed_servers.into_iter().map(|(_, id, at)| (at, id)).collect();
+        let mut dials = Vec::new();
+        for (id, server) in &mut self.servers.all {
+            server.address_taken = last.get(&server.address).is_some_and(|last| last != id);
+            if server.address_taken {
+                dials.extend(std::mem::take(&mut server.dials));
+            }
+        }
+        for dial in dials {
+            self.cancel_dial(dial);
+        }
+    }
+
+    /// Ends attempts that wait for a connection to a server that no longer accepts calls, so that they go
+    /// elsewhere.
+    fn end_waiting_attempts(&mut self, id: ServerId) {
+        let waiting: Vec<CallId> = self
+            .servers
+            .dials
+            .values_mut()
+            .filter(|dial| dial.server == id)
+            .flat_map(|dial| std::mem::take(&mut dial.waiting))
+            .collect();
+        for call in waiting {
+            self.end_attempt(call, Outcome::Unreachable, Reason::None, Report::default());
+        }
+    }
+}
