Release the calls of a server whose address passed to another server

Cause: a connection was taken to lead to the server it was dialled for. Until the list tells of the new server, a dial under the old name reaches it. Its messages renewed last_received_at of the old server and cleared unreachable, and its connection stayed in the old server's set: neither condition for lost calls (no connection left; dials fail and silence of 7 s) could come true. Calls set up there meanwhile were counted at the old server.

Evidence: log of n0, level debug: s-a can't be reached at 1.4 s, "told x0:200;x1:200" from 3.7 s on, which the new machine sent; after the list's event "address taken by another server, 7 standing calls, 1 connections" until the end.

Change: servers/succession.rs. When the list tells of the new server, its start decides who accepted which connection; those established since and the calls set up on them move to it, and what came on them no longer counts for the old one. A server whose address is taken counts as unreachable. A removed server doesn't get its address back when its successor is removed.

Tests: tests/instances.rs.

--- a/crates/lemoncleat-access/src/calls.rs
+++ b/crates/lemoncleat-access/src/calls.rs
@@ -71,6 +71,8 @@
     pub(crate) server: ServerId,
     /// The connection on which it was set up at the server, while that is open.
     pub(crate) server_conn: Option<ConnId>,
+    /// When that connection was established; `None` if a caller named the call as established.
+    pub(crate) conn_opened_at: Option<Micros>,
     /// The connection on which its caller set it up.
     pub(crate) caller: ConnId,
     pub(crate) attempt: u32,
@@ -196,6 +198,7 @@
             called: invite.called,
             server,
             server_conn: None,
+            conn_opened_at: None,
             caller: conn,
             attempt: 0,
             sent_at: self.now,
@@ -424,11 +427,12 @@
             let (call_id, called) = (call.id.clone(), call.called.clone());
             self.out.push(Output::WithdrawInvite(conn, id, bytes));
             let now = self.now;
-            self.releases.abandon(now, id, attempt.server);
+            let server = self.servers.accepted_by(conn).map_or(attempt.server, |(server, _)| server);
+            self.releases.abandon(now, id, server);
             if self.servers.suspect_if_silent(conn, attempt.sent_at, now) {
                 // Its answer may have been lost with the connection: the call that may be established is
                 // released on a connection on which the server will read it.
-                self.release_elsewhere(attempt.server, &call_id, &called, conn);
+                self.release_elsewhere(server, &call_id, &called, conn);
             }
         }
         Some(attempt)
@@ -506,11 +510,14 @@
         let Some(call) = self.answer(id, 200, "OK", message.body()) else { return };
         self.stats.stood += 1;
         self.mark_caller_answered(call.conn);
+        // The connection may have turned out to be another server's since the attempt was sent.
+        let (server, opened_at) = self.servers.accepted_by(conn).unwrap_or((attempt.server, now));
         let standing = StandingCall {
             id: call.id,
             called: call.called,
-            server: attempt.server,
+            server,
             server_conn: Some(conn),
+            conn_opened_at: Some(opened_at),
             caller: call.conn,
             attempt: attempt.number,
             sent_at: attempt.sent_at,
--- a/crates/lemoncleat-access/src/notice.rs
+++ b/crates/lemoncleat-access/src/notice.rs
@@ -73,6 +73,18 @@
         /// `true` if the connection was refused, `false` if the dial timed out.
         refused: bool,
     },
+    /// The address of a server belongs to another server now, which had accepted connections in the first one's
+    /// name.
+    AddressTakenOver {
+        /// Name of the server that had the address.
+        server: String,
+        /// Name of the server that has it now.
+        successor: String,
+        /// Number of open connections that the latter accepted.
+        conns: usize,
+        /// Number of established calls that were set up there.
+        calls: usize,
+    },
     /// The established calls of a server are considered lost.
     CallsLost {
         /// The server's name.
@@ -134,6 +146,7 @@
             | Notice::JournalUp(..)
             | Notice::Stopping { .. }
             | Notice::Tables { .. }
+            | Notice::AddressTakenOver { .. }
             | Notice::ServerConn { .. } => Level::Info,
             Notice::Unreachable { .. }
             | Notice::CallsLost { .. }
@@ -172,6 +185,9 @@
             }
             Notice::Unreachable { server, refused: true } => write!(f, "{server} refuses connections"),
             Notice::Unreachable { server, refused: false } => write!(f, "{server} can't be reached"),
+            Notice::AddressTakenOver { server, successor, conns, calls } => {
+                write!(f, "{successor} has the address of {server}: {conns} connections and {calls} calls are its own")
+            }
             Notice::CallsLost { server, calls, why } => {
                 write!(f, "{calls} standing calls of {server} are lost: {why}")
             }
--- a/crates/lemoncleat-access/src/servers.rs
+++ b/crates/lemoncleat-access/src/servers.rs
@@ -1,6 +1,7 @@
 //! Call servers: the connections to them, and the messages received on these.
 
 mod list;
+mod succession;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -43,14 +44,23 @@
     unreachable: bool,
     pause: Micros,
     next_dial_at: Micros,
-    /// Whether another server now has its address.
-    address_taken: bool,
+    /// The server that now has its address. It is not dialled there any more.
+    successor: Option<Successor>,
+}
+
+/// The server that has taken over the address of another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Successor {
+    server: ServerId,
+    /// When its process started, if the list gives that. It accepted the connections that were established
+    /// since.
+    started_at: Option<Micros>,
 }
 
 impl Server {
     fn notice(&self) -> Notice {
-        let state = match (self.address_taken, self.availability) {
-            (true, _) => "address taken by another server",
+        let state = match (self.successor, self.availability) {
+            (Some(_), _) => "address taken by another server",
             (_, Availability::Ready) => "takes calls",
             (_, Availability::Draining) => "drains",
             (_, Availability::Gone) => "gone",
@@ -177,6 +187,11 @@
         DialId(self.next_dial)
     }
 
+    /// Returns the server that accepted a connection and when it was established, if it is open.
+    pub(crate) fn accepted_by(&self, conn: ConnId) -> Option<(ServerId, Micros)> {
+        self.conns.get(&conn).map(|conn| (conn.server, conn.opened_at))
+    }
+
     pub(crate) fn named(&self, name: &str) -> Option<ServerId> {
         self.by_name.get(name).copied()
     }
@@ -187,7 +202,7 @@
 
     /// Returns whether messages about calls at this server can still arrive.
     pub(crate) fn may_still_report(&self, server: ServerId) -> bool {
-        self.all.get(&server).is_some_and(|server| !server.address_taken || !server.conns.is_empty())
+        self.all.get(&server).is_some_and(|server| server.successor.is_none() || !server.conns.is_empty())
     }
 
     /// Counts a call that begins (1) or ends (-1) to be established at a server, set up on a connection.
@@ -384,7 +399,7 @@
         let dial = self.servers.next_dial();
         let timeout = self.servers.dial_timeout;
         let server = self.servers.all.get_mut(&id)?;
-        if server.address_taken {
+        if server.successor.is_some() {
             return None;
         }
         server.dials.insert(dial);
@@ -535,7 +550,7 @@
         let needed = self.servers.all.get(&id).is_some_and(|server| {
             server.standing > 0
                 && server.dials.is_empty()
-                && !server.address_taken
+                && server.successor.is_none()
                 && self.now >= server.next_dial_at
         });
         if needed && self.make_room(id) {
@@ -567,7 +582,7 @@
             return;
         }
         let unconnected = server.conns.is_empty() && server.dials.is_empty();
-        if unconnected && server.address_taken {
+        if unconnected && server.successor.is_some() {
             return self.server_lost(id, "another server stands at its address");
         }
         // If more servers have calls than connections are allowed, they take turns: each reports on its turn
@@ -802,9 +817,9 @@
                 self.release_to_caller(id, standing.id, standing.called, cause, standing.caller);
                 self.maintain_server(server);
             }
-        } else if current_attempt.is_some_and(|current_attempt| {
-            current_attempt.server == server && current_attempt.path == AttemptPath::Conn(conn)
-        }) {
+        } else if current_attempt
+            .is_some_and(|current_attempt| current_attempt.path == AttemptPath::Conn(conn))
+        {
             // If the server answers nevertheless, that call is released.
             self.releases.abandon(self.now, id, server);
             if let Some(call) = self.calls.get_mut(&id) {
@@ -889,7 +904,8 @@
             let received_at = received_until.get(&id).copied().unwrap_or(server.last_received_at);
             let needs_fresh_conn = has_calls && now - server.last_connected_at.max(received_at) > interval;
             // A server that only refuses new calls still reports on its established ones.
-            let lost = server.unreachable && now - server.last_received_at > SERVER_LOST_TIMEOUT_US;
+            let no_new_conns = server.unreachable || server.successor.is_some();
+            let lost = no_new_conns && now - server.last_received_at > SERVER_LOST_TIMEOUT_US;
             if releases_pending && lost {
                 self.server_lost(id, "it cannot be reached");
             } else if has_calls && lost {
@@ -943,7 +959,7 @@
             unreachable: false,
             pause: 0,
             next_dial_at: 0,
-            address_taken: false,
+            successor: None,
         };
         servers.all.insert(ServerId(0), server);
         for id in conns {
--- a/crates/lemoncleat-access/src/servers/list.rs
+++ b/crates/lemoncleat-access/src/servers/list.rs
@@ -1,6 +1,6 @@
 //! The server list: which servers there are, and at which addresses.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use lemoncleat::{Availability, CallId, Outcome, Reason, Report, ServerId, ServerListUpdate};
@@ -49,7 +49,7 @@
         }
         let all = self.servers.all.values();
         self.servers.ready_servers = all.filter(|server| server.availability == Availability::Ready).count();
-        self.mark_taken_addresses();
+        self.update_successors();
         if self.tracing {
             self.log_servers();
         }
@@ -81,37 +81,13 @@
             unreachable: false,
             pause: REDIAL_PAUSE_US.0,
             next_dial_at: self.now,
-            address_taken: false,
+            successor: None,
         };
         self.servers.all.insert(id, server);
         self.servers.by_name.insert(name.to_owned(), id);
         id
     }
 
-    /// Marks the servers whose address is now used by another server, and stops dialling them there: servers
-    /// that are gone, and servers listed earlier whose end has not been reported yet.
-    fn mark_taken_addresses(&mut self) {
-        let listed_servers =
-            self.servers.all.iter().filter(|(_, server)| server.availability != Availability::Gone);
-        // Of several servers at one address the one started last is kept; if they started together, the one
-        // listed last, since ids ascend.
-        let mut listed_servers: Vec<_> =
-            listed_servers.map(|(id, server)| (server.started_at, *id, server.address)).collect();
-        listed_servers.sort_unstable();
-        let last: BTreeMap<SocketAddr, ServerId> =
-            listed_servers.into_iter().map(|(_, id, at)| (at, id)).collect();
-        let mut dials = Vec::new();
-        for (id, server) in &mut self.servers.all {
-            server.address_taken = last.get(&server.address).is_some_and(|last| last != id);
-            if server.address_taken {
-                dials.extend(std::mem::take(&mut server.dials));
-            }
-        }
-        for dial in dials {
-            self.cancel_dial(dial);
-        }
-    }
-
     /// Ends attempts that wait for a connection to a server that no longer accepts calls, so that they go
     /// elsewhere.
     fn end_waiting_attempts(&mut self, id: ServerId) {
--- a/crates/lemoncleat-access/tests/common/mod.rs
+++ b/crates/lemoncleat-access/tests/common/mod.rs
@@ -321,6 +321,21 @@
     messages.iter().filter_map(|message| message.method().cloned()).collect()
 }
 
+/// Returns a line of the journal service with changed entries, or with the complete list.
+pub fn list_event(pos: u64, complete: bool, endpoints: &[String]) -> String {
+    let endpoints = endpoints.join(",");
+    format!(
+        "{{\"pos\":{pos},\"hosts\":{{\"index\":{pos},\"snapshot\":{complete},\"endpoints\":[{endpoints}]}}}}\n"
+    )
+}
+
+/// Returns the list entry of a server, started at this Unix time in milliseconds, or long ago (0).
+pub fn list_endpoint(name: &str, address: &str, group: u32, status: &str, since_ms: i64) -> String {
+    format!(
+        r#"{{"name":"{name}","address":"{address}","zone":"east","type":"std","group":{group},"status":"{status}","weight":1,"since_ms":{since_ms}}}"#
+    )
+}
+
 pub fn invite(id: &str, class: &str, legs: &str) -> Vec<u8> {
     invite_for(id, class, legs, "1500")
 }
--- /dev/null
+++ b/crates/lemoncleat-access/tests/instances.rs
@@ -0,0 +1,240 @@
+//! Calls of servers whose process or machine was replaced: their callers are told, and calls that stand at the
+//! new one are kept.
+
+mod common;
+
+use common::*;
+use lemoncleat_access::{ConnId, Micros, Notice};
+use lemoncleat_sip::Method;
+
+const ID: &str = "9b1f03aa5c7e2d41";
+const OTHER_ID: &str = "00000000000000b7";
+const ADDRESS_A: &str = "127.0.1.1:5070";
+/// Latest time after the end of a call at which its caller must be told, if no release could be sent.
+const REPORT_LIMIT_US: Micros = 8 * SECOND;
+/// Interval at which servers report their state on open connections.
+const STATE_INTERVAL_US: Micros = SECOND;
+
+/// Sends list event 2, a change of these entries.
+fn send_list_change(harness: &mut Harness, endpoints: &[String]) {
+    send_list_event(harness, 2, endpoints);
+}
+
+fn send_list_event(harness: &mut Harness, pos: u64, endpoints: &[String]) {
+    let conn = harness.conns_to(journal())[0];
+    harness.bytes(conn, list_event(pos, false, endpoints).as_bytes());
+}
+
+/// Returns the list entry of a server at the address of s-a, started at a time of the harness.
+fn endpoint_at_a(name: &str, status: &str, started_at: Micros) -> String {
+    list_endpoint(name, ADDRESS_A, 0, status, (EPOCH + started_at) / MS)
+}
+
+/// The change by which s-c, started at this time, has taken the place of s-a.
+fn replacement_of_a(started_at: Micros) -> [String; 2] {
+    [list_endpoint("s-a", ADDRESS_A, 0, "removed", 0), endpoint_at_a("s-c", "up", started_at)]
+}
+
+/// Advances the time while the caller stays in contact and the given connections report the state of their
+/// server; returns when a release of the call reached its caller.
+fn released_within(
+    harness: &mut Harness,
+    caller: ConnId,
+    id: &str,
+    span: Micros,
+    reporting: &dyn Fn(&Harness) -> Vec<ConnId>,
+) -> Option<Micros> {
+    const STEP_US: Micros = 100 * MS;
+    let until = harness.now + span;
+    let mut reported_at = harness.now;
+    loop {
+        let received = harness.read(caller);
+        let release = |message: &lemoncleat_sip::Message| {
+            message.method() == Some(&Method::Bye) && message.call_id() == Some(id)
+        };
+        if received.iter().any(release) {
+            return Some(harness.now);
+        }
+        if harness.now >= until {
+            return None;
+        }
+        harness.advance(STEP_US);
+        harness.fail_dials(false);
+        harness.bytes(caller, &request_about(Method::Options, "00000000000000f0"));
+        if harness.now - reported_at >= STATE_INTERVAL_US {
+            reported_at = harness.now;
+            for conn in reporting(harness) {
+                harness.bytes(conn, &notify("x0:40;x1:40"));
+            }
+        }
+    }
+}
+
+fn nobody(_: &Harness) -> Vec<ConnId> {
+    Vec::new()
+}
+
+/// Sets up a call at s-a and lets the machine of s-a vanish: connections stay open and silent, and new ones
+/// never come up. Returns the caller's connection and those of s-a.
+fn call_at_vanished_server(harness: &mut Harness) -> (ConnId, Vec<ConnId>) {
+    let caller = harness.connect_caller();
+    let (server, _) = harness.standing_call(caller, ID);
+    assert_eq!(server, server_a());
+    harness.reachable.remove(&server_a());
+    (caller, harness.conns_to(server_a()))
+}
+
+/// Guards against calls that are never released because their server's address passed to another server: the
+/// node had dialled the new one under the old one's name, and its reports renewed the old one's calls.
+#[test]
+fn releases_calls_of_vanished_server_whose_address_was_reused() {
+    let mut harness = Harness::new();
+    let (caller, old) = call_at_vanished_server(&mut harness);
+    let vanished_at = harness.now;
+    assert_eq!(released_within(&mut harness, caller, ID, 3 * SECOND, &nobody), None);
+    let started_at = harness.now;
+    harness.reachable.insert(server_a());
+    let reporting = |harness: &Harness| {
+        harness.conns_to(server_a()).into_iter().filter(|conn| !old.contains(conn)).collect::<Vec<_>>()
+    };
+    assert_eq!(released_within(&mut harness, caller, ID, 2 * SECOND, &reporting), None);
+    assert!(!reporting(&harness).is_empty(), "the new server was dialled before it was listed");
+    send_list_change(&mut harness, &replacement_of_a(started_at));
+    let left = vanished_at + REPORT_LIMIT_US - harness.now;
+    assert!(released_within(&mut harness, caller, ID, left, &reporting).is_some());
+}
+
+/// The same, but the list tells of the new server before it could be dialled under the old one's name: the old
+/// server's silent connection alone must not keep its calls.
+#[test]
+fn releases_calls_of_vanished_server_whose_address_was_reused_before_any_dial() {
+    let mut harness = Harness::new();
+    let (caller, old) = call_at_vanished_server(&mut harness);
+    let vanished_at = harness.now;
+    assert_eq!(released_within(&mut harness, caller, ID, 200 * MS, &nobody), None);
+    let started_at = harness.now;
+    harness.reachable.insert(server_a());
+    send_list_change(&mut harness, &replacement_of_a(started_at));
+    let reporting = |harness: &Harness| {
+        harness.conns_to(server_a()).into_iter().filter(|conn| !old.contains(conn)).collect::<Vec<_>>()
+    };
+    let left = vanished_at + REPORT_LIMIT_US - harness.now;
+    assert!(released_within(&mut harness, caller, ID, left, &reporting).is_some());
+}
+
+/// The new server at the address is gone as well before the old one's calls count as lost: the old server's
+/// address does not become its own again.
+#[test]
+fn releases_calls_of_vanished_server_when_its_successor_is_gone_too() {
+    let mut harness = Harness::new();
+    let (caller, _) = call_at_vanished_server(&mut harness);
+    let vanished_at = harness.now;
+    let started_at = harness.now + 100 * MS;
+    assert_eq!(released_within(&mut harness, caller, ID, SECOND, &nobody), None);
+    send_list_change(&mut harness, &replacement_of_a(started_at));
+    assert_eq!(released_within(&mut harness, caller, ID, SECOND, &nobody), None);
+    send_list_event(&mut harness, 3, &[endpoint_at_a("s-c", "removed", started_at)]);
+    // A third server is there now, which the list has not told yet.
+    harness.reachable.insert(server_a());
+    let dialled_before = harness.all_conns.len();
+    let left = vanished_at + REPORT_LIMIT_US - harness.now;
+    assert!(released_within(&mut harness, caller, ID, left, &nobody).is_some());
+    assert!(harness.all_conns[dialled_before..].iter().all(|(to, _)| *to != server_a()));
+}
+
+/// A drained server stops and cuts its calls; its successor starts at its address at once, and is dialled
+/// under the old name. The calls are released when the list tells of the successor, not seconds later.
+#[test]
+fn releases_calls_of_stopped_server_when_its_successor_is_listed() {
+    let mut harness = Harness::new();
+    let caller = harness.connect_caller();
+    let (server, _) = harness.standing_call(caller, ID);
+    assert_eq!(server, server_a());
+    harness.advance(SECOND);
+    let started_at = harness.now;
+    // The successor accepts the dials that follow.
+    for conn in harness.conns_to(server_a()) {
+        harness.close(conn);
+    }
+    let at_a = |harness: &Harness| harness.conns_to(server_a());
+    assert_eq!(released_within(&mut harness, caller, ID, 2 * SECOND, &at_a), None);
+    assert!(!at_a(&harness).is_empty());
+    send_list_change(&mut harness, &replacement_of_a(started_at));
+    assert!(released_within(&mut harness, caller, ID, 0, &at_a).is_some());
+}
+
+/// Calls that were set up at the successor under the old server's name stand there: they are not released
+/// with those of the old server, and their own release is passed on, also when their connection is gone.
+#[test]
+fn keeps_calls_set_up_at_successor_before_it_was_listed() {
+    for conn_is_lost in [false, true] {
+        let mut harness = Harness::new();
+        let caller = harness.connect_caller();
+        harness.standing_call(caller, ID);
+        harness.advance(SECOND);
+        let started_at = harness.now;
+        for conn in harness.conns_to(server_a()) {
+            harness.close(conn);
+        }
+        harness.report_free_lines();
+        let (server, conn) = harness.standing_call(caller, OTHER_ID);
+        assert_eq!(server, server_a());
+        if conn_is_lost {
+            harness.close(conn);
+        }
+        harness.advance(SECOND);
+        harness.read(caller);
+        send_list_change(&mut harness, &replacement_of_a(started_at));
+        let released = harness.read(caller);
+        let ids: Vec<_> = released.iter().filter_map(|message| message.call_id()).collect();
+        assert_eq!(ids, [ID], "connection lost: {conn_is_lost}");
+        let at_a = |harness: &Harness| harness.conns_to(server_a());
+        assert_eq!(released_within(&mut harness, caller, OTHER_ID, 20 * SECOND, &at_a), None);
+        let last = *harness.conns_to(server_a()).last().expect("a connection to the successor");
+        harness.bytes(last, &bye(OTHER_ID, 16));
+        assert!(released_within(&mut harness, caller, OTHER_ID, 0, &at_a).is_some());
+        let Notice::Tables { standing, .. } = harness.table_sizes() else { panic!("tables") };
+        assert_eq!(standing, 0);
+    }
+}
+
+/// An attempt that is out at the successor under the old server's name, when the list tells of it, goes on:
+/// the call stands at the successor.
+#[test]
+fn keeps_attempt_at_successor_while_it_is_listed() {
+    let mut harness = Harness::new();
+    harness.advance(SECOND);
+    let started_at = harness.now;
+    for conn in harness.conns_to(server_a()) {
+        harness.close(conn);
+    }
+    harness.report_free_lines();
+    let caller = harness.connect_caller();
+    harness.bytes(caller, &invite(ID, "voice", "dest:0;width:1;via:-1"));
+    let (server, conn, forwarded) = harness.single_invite();
+    assert_eq!(server, server_a());
+    send_list_change(&mut harness, &replacement_of_a(started_at));
+    harness.bytes(conn, &ok(&forwarded));
+    assert_eq!(codes(&harness.read(caller)), [200]);
+    harness.bytes(caller, &request_about(Method::Ack, ID));
+    let at_a = |harness: &Harness| harness.conns_to(server_a());
+    assert_eq!(released_within(&mut harness, caller, ID, 10 * SECOND, &at_a), None);
+    harness.bytes(conn, &bye(ID, 16));
+    assert!(released_within(&mut harness, caller, ID, 0, &at_a).is_some());
+}
+
+/// An old server that still reports on its own connection lives, whatever the list says of its address: its
+/// calls are not cut.
+#[test]
+fn keeps_calls_of_server_that_reports_after_its_address_was_listed_for_another() {
+    let mut harness = Harness::new();
+    let caller = harness.connect_caller();
+    let (_, conn) = harness.standing_call(caller, ID);
+    harness.advance(SECOND);
+    let started_at = harness.now;
+    send_list_change(&mut harness, &replacement_of_a(started_at));
+    let own = |_: &Harness| vec![conn];
+    assert_eq!(released_within(&mut harness, caller, ID, 20 * SECOND, &own), None);
+    harness.bytes(conn, &bye(ID, 16));
+    assert!(released_within(&mut harness, caller, ID, 0, &own).is_some());
+}
--- a/crates/lemoncleat-access/tests/servers.rs
+++ b/crates/lemoncleat-access/tests/servers.rs
@@ -11,17 +11,15 @@
 
 fn event(harness: &mut Harness, line: &str) {
     let conn = harness.conns_to(journal())[0];
-    harness.bytes(conn, format!("{line}\n").as_bytes());
+    harness.bytes(conn, format!("{}\n", line.trim_end()).as_bytes());
 }
 
-fn hosts(pos: u64, endpoints: &str) -> String {
-    format!(r#"{{"pos":{pos},"hosts":{{"index":{pos},"snapshot":false,"endpoints":[{endpoints}]}}}}"#)
+fn hosts(pos: u64, endpoint: &str) -> String {
+    list_event(pos, false, &[endpoint.to_owned()])
 }
 
 fn endpoint(name: &str, address: &str, group: u32, status: &str, since: i64) -> String {
-    format!(
-        r#"{{"name":"{name}","address":"{address}","zone":"east","type":"std","group":{group},"status":"{status}","weight":1,"since_ms":{since}}}"#
-    )
+    list_endpoint(name, address, group, status, since)
 }
 
 #[test]
