Release named calls whose server was restarted before they were named

Cause: calls.rs, take_over_standing(): a named call was recorded as established at the moment of naming. server_list_received() ends the calls established before the new start, and these passed for later ones. The same mistake, the time of taking note for the time of the event, on two related paths: an answer that was read after the node had stood still, and a call named after the list had told of the restart.

Change: when a call was established is a type of its own. A call set up here belongs to the process that accepted its connection. Of a named call the time is not known: it precedes a restart that the node was told of if the new process started less than 8 s, the callers' limit, before the naming. An entry without a start or with an earlier one is no restart.

Tests: tests/instances.rs, releases_named_call_whose_server_restarted and releases_call_whose_answer_was_ read_after_restart_of_its_server failed on the code before; three more guard against cutting calls that stand.

--- a/crates/lemoncleat-access/src/calls.rs
+++ b/crates/lemoncleat-access/src/calls.rs
@@ -8,7 +8,11 @@
 use crate::invite::{self, Invite};
 use crate::node::{AccessNode, Timer};
 use crate::notice::Notice;
-use crate::timing::{ANSWER_MARGIN_US, CROSSED_ANSWER_WINDOW_US};
+use crate::timing::{ANSWER_MARGIN_US, CALL_END_REPORT_LIMIT_US, CROSSED_ANSWER_WINDOW_US};
+
+/// Cause (Q.850) with which callers are told that a call is over whose server did not say why: temporary
+/// failure.
+const LOST_CALL_CAUSE: u16 = 41;
 
 /// An unanswered set-up.
 pub(crate) struct Call {
@@ -64,6 +68,35 @@
     }
 }
 
+/// What is known of when a call was established at its server.
+#[derive(Clone, Copy)]
+pub(crate) enum Established {
+    /// On a connection that was established at this time. The time at which the answer was read says less: the
+    /// node may have stood still.
+    OnConn { opened_at: Micros },
+    /// At an unknown time before a caller named the call, as after a restart of this node.
+    BeforeNamed { named_at: Micros },
+}
+
+impl Established {
+    /// Returns whether a call was established at an earlier process of its server than the one that started at
+    /// this time.
+    ///
+    /// Of a named call this is assumed if the process started less than `CALL_END_REPORT_LIMIT_US` before the
+    /// call was named. Otherwise the time limit for reporting its end was over when it was named.
+    pub(crate) fn precedes(self, started_at: Micros) -> bool {
+        match self {
+            Established::OnConn { opened_at } => opened_at < started_at,
+            Established::BeforeNamed { named_at } => named_at - CALL_END_REPORT_LIMIT_US < started_at,
+        }
+    }
+
+    /// Returns whether a call was established on a connection of this time or later.
+    pub(crate) fn is_on_conn_since(self, time: Micros) -> bool {
+        matches!(self, Established::OnConn { opened_at } if opened_at >= time)
+    }
+}
+
 /// An established call.
 pub(crate) struct StandingCall {
     pub(crate) id: String,
@@ -71,13 +104,13 @@
     pub(crate) server: ServerId,
     /// The connection on which it was set up at the server, while that is open.
     pub(crate) server_conn: Option<ConnId>,
-    /// When that connection was established; `None` if a caller named the call as established.
-    pub(crate) conn_opened_at: Option<Micros>,
     /// The connection on which its caller set it up.
     pub(crate) caller: ConnId,
     pub(crate) attempt: u32,
     pub(crate) sent_at: Micros,
-    pub(crate) established_at: Micros,
+    pub(crate) established: Established,
+    /// When its answer was sent to its caller, or when the caller named it.
+    pub(crate) answered_at: Micros,
     pub(crate) acked: bool,
 }
 
@@ -178,7 +211,7 @@
         let server = invite.standing_at.as_deref().and_then(|name| self.servers.named(name));
         let known = self.releases.known_cause(id);
         let gone = server.is_none_or(|server| !self.servers.may_still_report(server));
-        if let (Some(cause), _) | (None, Some(cause)) = (known, gone.then_some(41)) {
+        if let (Some(cause), _) | (None, Some(cause)) = (known, gone.then_some(LOST_CALL_CAUSE)) {
             // The call has ended, or no message about its end could ever arrive.
             self.trace(&invite.id, || format!("has ended, cause {cause}"));
             if let Some(server) = server {
@@ -187,6 +220,13 @@
             return self.release_to_caller(id, invite.id, invite.called, cause, conn);
         }
         let Some(server) = server else { return };
+        let established = Established::BeforeNamed { named_at: self.now };
+        if self.servers.restarted_at(server).is_some_and(|started_at| established.precedes(started_at)) {
+            self.trace(&invite.id, || "has ended: its server's process was restarted".to_owned());
+            let now = self.now;
+            self.releases.record_ended(now, id, LOST_CALL_CAUSE);
+            return self.release_to_caller(id, invite.id, invite.called, LOST_CALL_CAUSE, conn);
+        }
         if self.standing.len() >= self.max_standing_calls {
             // Callers may name calls that never existed, so calls that are known take precedence.
             self.stats.bad_caller_messages += 1;
@@ -198,11 +238,11 @@
             called: invite.called,
             server,
             server_conn: None,
-            conn_opened_at: None,
             caller: conn,
             attempt: 0,
             sent_at: self.now,
-            established_at: self.now,
+            established,
+            answered_at: self.now,
             acked: true,
         };
         self.add_standing(id, standing);
@@ -283,7 +323,7 @@
         let unread = self.standing.iter().filter(|(_, standing)| {
             standing.caller == conn
                 && !standing.acked
-                && now - standing.established_at <= CROSSED_ANSWER_WINDOW_US
+                && now - standing.answered_at <= CROSSED_ANSWER_WINDOW_US
         });
         for id in unread.map(|(id, _)| *id).collect::<Vec<_>>() {
             self.release_crossed_call(id);
@@ -517,11 +557,11 @@
             called: call.called,
             server,
             server_conn: Some(conn),
-            conn_opened_at: Some(opened_at),
             caller: call.conn,
             attempt: attempt.number,
             sent_at: attempt.sent_at,
-            established_at: now,
+            established: Established::OnConn { opened_at },
+            answered_at: now,
             acked: false,
         };
         self.add_standing(id, standing);
@@ -566,7 +606,7 @@
         let standing = self.standing.remove(&id)?;
         self.servers.count_standing(standing.server, standing.server_conn, -1);
         let now = self.now;
-        self.releases.record_ended(now, id, if outcome == Outcome::Ok { 16 } else { 41 });
+        self.releases.record_ended(now, id, if outcome == Outcome::Ok { 16 } else { LOST_CALL_CAUSE });
         if outcome != Outcome::Ok {
             self.stats.cut += 1;
         }
@@ -583,13 +623,20 @@
         Some(standing)
     }
 
-    /// Ends the established calls of a server that is lost, limited to those established before
-    /// `established_before`.
-    pub(crate) fn end_lost_calls(&mut self, server: ServerId, established_before: Micros, why: &'static str) {
-        let lost = self
-            .standing
-            .iter()
-            .filter(|(_, call)| call.server == server && call.established_at < established_before);
+    /// Ends the established calls of a server that is lost.
+    pub(crate) fn end_lost_calls(&mut self, server: ServerId, why: &'static str) {
+        self.end_calls_if(server, why, |_| true);
+    }
+
+    /// Ends the calls that were established at an earlier process of a server than the one that started at this
+    /// time.
+    pub(crate) fn end_calls_of_earlier_process(&mut self, server: ServerId, started_at: Micros) {
+        let ended = |call: &StandingCall| call.established.precedes(started_at);
+        self.end_calls_if(server, "its process was restarted", ended);
+    }
+
+    fn end_calls_if(&mut self, server: ServerId, why: &'static str, ended: impl Fn(&StandingCall) -> bool) {
+        let lost = self.standing.iter().filter(|(_, call)| call.server == server && ended(call));
         let lost: Vec<_> = lost.map(|(id, _)| *id).collect();
         if lost.is_empty() {
             return;
@@ -598,7 +645,7 @@
         self.notice(Notice::CallsLost { server: name, calls: lost.len(), why });
         for id in lost {
             if let Some(standing) = self.end_standing(id, Outcome::Reset, Report::default()) {
-                self.release_to_caller(id, standing.id, standing.called, 41, standing.caller);
+                self.release_to_caller(id, standing.id, standing.called, LOST_CALL_CAUSE, standing.caller);
             }
         }
     }
--- a/crates/lemoncleat-access/src/servers.rs
+++ b/crates/lemoncleat-access/src/servers.rs
@@ -29,7 +29,10 @@
     name: String,
     address: SocketAddr,
     availability: Availability,
+    /// When its process started, if the list has given that.
     started_at: Option<Micros>,
+    /// The same, if this node knew of an earlier process.
+    restarted_at: Option<Micros>,
     conns: BTreeSet<ConnId>,
     dials: BTreeSet<DialId>,
     /// Number of established calls on the server.
@@ -200,6 +203,11 @@
         self.all.get(&server).map_or_else(String::new, |server| server.name.clone())
     }
 
+    /// Returns when the process of a server started, if this node knew of an earlier one.
+    pub(crate) fn restarted_at(&self, server: ServerId) -> Option<Micros> {
+        self.all.get(&server).and_then(|server| server.restarted_at)
+    }
+
     /// Returns whether messages about calls at this server can still arrive.
     pub(crate) fn may_still_report(&self, server: ServerId) -> bool {
         self.all.get(&server).is_some_and(|server| server.successor.is_none() || !server.conns.is_empty())
@@ -602,7 +610,7 @@
         if let Some(server) = self.servers.all.get_mut(&id) {
             server.pending_releases.clear();
         }
-        self.end_lost_calls(id, Micros::MAX, why);
+        self.end_lost_calls(id, why);
     }
 
     fn forget_server(&mut self, id: ServerId) {
@@ -909,7 +917,7 @@
             if releases_pending && lost {
                 self.server_lost(id, "it cannot be reached");
             } else if has_calls && lost {
-                self.end_lost_calls(id, Micros::MAX, "it cannot be reached");
+                self.end_lost_calls(id, "it cannot be reached");
             } else if needs_fresh_conn {
                 self.open_fresh_conn(id);
             }
@@ -950,6 +958,7 @@
             address: std::net::SocketAddr::from(([127, 0, 0, 1], 1)),
             availability: Availability::Ready,
             started_at: None,
+            restarted_at: None,
             conns: conns.clone().collect(),
             dials: BTreeSet::new(),
             standing: 0,
--- a/crates/lemoncleat-access/src/servers/list.rs
+++ b/crates/lemoncleat-access/src/servers/list.rs
@@ -18,7 +18,8 @@
         for endpoint in news.endpoints {
             let mut listed = endpoint.server;
             listed.started_at = listed.started_at.map(|at| at - self.epoch);
-            let id = match self.servers.named(&listed.name) {
+            let known = self.servers.named(&listed.name);
+            let id = match known {
                 Some(id) => id,
                 None if listed.availability == Availability::Gone => continue,
                 None => self.add_server(&listed.name, endpoint.address),
@@ -26,13 +27,15 @@
             seen.insert(id);
             members.push(listed.member(id, &mut self.servers.zones, &mut self.servers.kinds));
             let Some(server) = self.servers.all.get_mut(&id) else { continue };
-            let restarted = listed.started_at.filter(|_| listed.started_at != server.started_at);
             server.address = endpoint.address;
             server.availability = listed.availability;
-            server.started_at = listed.started_at;
-            if let Some(started) = restarted {
-                // A process started at that time holds no earlier calls.
-                self.end_lost_calls(id, started, "its process was restarted");
+            // An entry without a start, or with an earlier one, says nothing new.
+            if listed.started_at > server.started_at {
+                server.started_at = listed.started_at;
+                server.restarted_at = listed.started_at.filter(|_| known.is_some());
+                if let Some(started_at) = server.restarted_at {
+                    self.end_calls_of_earlier_process(id, started_at);
+                }
             }
             if listed.availability != Availability::Ready {
                 self.end_waiting_attempts(id);
@@ -72,6 +75,7 @@
             address,
             availability: Availability::Ready,
             started_at: None,
+            restarted_at: None,
             conns: BTreeSet::new(),
             dials: BTreeSet::new(),
             standing: 0,
--- a/crates/lemoncleat-access/src/servers/succession.rs
+++ b/crates/lemoncleat-access/src/servers/succession.rs
@@ -121,7 +121,7 @@
     fn move_calls(&mut self, from: ServerId, to: ServerId, started_at: Micros) -> usize {
         let mut calls = 0;
         for standing in self.standing.values_mut() {
-            if standing.server == from && standing.conn_opened_at.is_some_and(|at| at >= started_at) {
+            if standing.server == from && standing.established.is_on_conn_since(started_at) {
                 standing.server = to;
                 self.servers.move_standing(from, to, standing.server_conn);
                 calls += 1;
--- a/crates/lemoncleat-access/src/timing.rs
+++ b/crates/lemoncleat-access/src/timing.rs
@@ -42,6 +42,8 @@
 /// new one, and a machine that has vanished is detected. Servers report their state every second on open
 /// connections, so a healthy connection is rarely silent for this long.
 pub const FRESH_CONN_INTERVAL_US: Micros = 2 * SECOND;
+/// Time limit for telling a caller that its call is over if no release could be sent for it.
+pub const CALL_END_REPORT_LIMIT_US: Micros = 8 * SECOND;
 /// The calls of a server that cannot be reached are considered lost after nothing was received from it for
 /// this time.
 pub const SERVER_LOST_TIMEOUT_US: Micros = 7 * SECOND;
--- a/crates/lemoncleat-access/tests/instances.rs
+++ b/crates/lemoncleat-access/tests/instances.rs
@@ -238,3 +238,126 @@
     harness.bytes(conn, &bye(ID, 16));
     assert!(released_within(&mut harness, caller, ID, 0, &own).is_some());
 }
+
+/// Sends a list event that reports s-a as running since this time of the harness.
+fn report_start_of_a(harness: &mut Harness, pos: u64, started_at: Micros) {
+    send_list_event(harness, pos, &[endpoint_at_a("s-a", "up", started_at)]);
+}
+
+fn name_call_at_a(harness: &mut Harness, caller: ConnId, id: &str) {
+    harness.bytes(caller, &invite(id, "voice", "at:s-a"));
+}
+
+/// Guards against calls that are never released because a caller named them after a restart of the node: they
+/// counted as established at that moment, and so as newer than the restart of their server, whether the list
+/// tells of it after the call was named or before.
+#[test]
+fn releases_named_call_whose_server_restarted() {
+    // Shortly before the node itself, as when both are lost together, and after it.
+    for started_at in [-50 * MS, 800 * MS] {
+        for named_first in [true, false] {
+            let case = format!("started at {started_at} us, named first: {named_first}");
+            let mut harness = Harness::new();
+            let caller = harness.connect_caller();
+            harness.advance(SECOND);
+            if named_first {
+                name_call_at_a(&mut harness, caller, ID);
+                assert!(harness.read(caller).is_empty(), "{case}");
+            }
+            harness.advance(500 * MS);
+            report_start_of_a(&mut harness, 2, started_at);
+            if !named_first {
+                name_call_at_a(&mut harness, caller, ID);
+            }
+            let received = harness.read(caller);
+            assert_eq!(methods(&received), [Method::Bye], "{case}");
+            assert_eq!(received[0].header("Reason"), Some("Q.850;cause=41"), "{case}");
+            // Named once more, from another connection.
+            let other = harness.connect_caller();
+            name_call_at_a(&mut harness, other, ID);
+            assert_eq!(methods(&harness.read(other)), [Method::Bye], "{case}");
+            let Notice::Tables { standing, .. } = harness.table_sizes() else { panic!("tables") };
+            assert_eq!(standing, 0, "{case}");
+        }
+    }
+}
+
+/// The node alone was restarted: its server was started long before, or for the first time, and nothing is new
+/// when it is listed again. The calls that are named there stand.
+#[test]
+fn keeps_named_call_when_its_server_did_not_restart() {
+    for started_at in [-60 * SECOND, -3 * SECOND] {
+        let since_ms = (EPOCH + started_at) / MS;
+        let mut harness = Harness::with_config(|text| {
+            text.replacen("\"since_ms\":0", &format!("\"since_ms\":{since_ms}"), 1)
+        });
+        let caller = harness.connect_caller();
+        name_call_at_a(&mut harness, caller, ID);
+        report_start_of_a(&mut harness, 2, started_at);
+        send_list_event(&mut harness, 3, &[endpoint_at_a("s-a", "draining", started_at)]);
+        send_list_event(&mut harness, 4, &[list_endpoint("s-a", ADDRESS_A, 0, "up", 0)]);
+        report_start_of_a(&mut harness, 5, started_at);
+        let at_a = |harness: &Harness| harness.conns_to(server_a());
+        assert_eq!(released_within(&mut harness, caller, ID, 10 * SECOND, &at_a), None);
+        harness.bytes(at_a(&harness)[0], &bye(ID, 16));
+        assert!(released_within(&mut harness, caller, ID, 0, &at_a).is_some());
+    }
+}
+
+/// A call that is named long after the last restart of its server may have been set up there since.
+#[test]
+fn keeps_named_call_when_its_server_restarted_long_ago() {
+    let mut harness = Harness::new();
+    let started_at = harness.now;
+    report_start_of_a(&mut harness, 2, started_at);
+    harness.advance(REPORT_LIMIT_US);
+    let caller = harness.connect_caller();
+    name_call_at_a(&mut harness, caller, ID);
+    assert!(harness.read(caller).is_empty());
+    harness.bytes(harness.conns_to(server_a())[0], &bye(ID, 16));
+    assert_eq!(methods(&harness.read(caller)), [Method::Bye]);
+}
+
+/// The node stood still, and read the answer of a server's earlier process only after the new one had started:
+/// the time of reading does not make the call newer than the restart.
+#[test]
+fn releases_call_whose_answer_was_read_after_restart_of_its_server() {
+    let mut harness = Harness::new();
+    let caller = harness.connect_caller();
+    harness.bytes(caller, &invite(ID, "voice", "dest:0;width:1;via:-1"));
+    let (server, conn, forwarded) = harness.single_invite();
+    assert_eq!(server, server_a());
+    let started_at = harness.now + 500 * MS;
+    harness.now += SECOND;
+    harness.bytes(conn, &ok(&forwarded));
+    assert_eq!(codes(&harness.read(caller)), [200]);
+    harness.bytes(caller, &request_about(Method::Ack, ID));
+    harness.close(conn);
+    harness.advance(SECOND);
+    report_start_of_a(&mut harness, 2, started_at);
+    assert_eq!(methods(&harness.read(caller)), [Method::Bye]);
+}
+
+/// Calls set up at the new process before the list tells of it are not cut with those of the earlier one.
+#[test]
+fn keeps_calls_set_up_at_restarted_server_before_it_was_listed() {
+    let mut harness = Harness::new();
+    let caller = harness.connect_caller();
+    harness.standing_call(caller, ID);
+    harness.advance(SECOND);
+    let started_at = harness.now;
+    for conn in harness.conns_to(server_a()) {
+        harness.close(conn);
+    }
+    harness.report_free_lines();
+    let (server, conn) = harness.standing_call(caller, OTHER_ID);
+    assert_eq!(server, server_a());
+    harness.advance(SECOND);
+    harness.read(caller);
+    report_start_of_a(&mut harness, 2, started_at);
+    let released = harness.read(caller);
+    let ids: Vec<_> = released.iter().filter_map(|message| message.call_id()).collect();
+    assert_eq!(ids, [ID]);
+    harness.bytes(conn, &bye(OTHER_ID, 16));
+    assert_eq!(methods(&harness.read(caller)), [Method::Bye]);
+}
