Release calls whose own connection is gone when no other way is left

Cause: whether a call's end could still arrive was judged by server. maintain_servers() gave calls up only after 7 s without anything from the server on any connection; reports on another connection renewed that. Of connections that the server closed nothing was kept, so that no further one was opened either.

Now, 7 s after the last sign on it: "2 standing calls of s- are lost: their connection is gone and no new one comes up".

Change: servers/call_paths.rs keeps how the connections of established calls ended. Calls of one that was given up here, or that the server closed while one of those on which it reports is silent, and calls that callers named likewise, await their release on new connections, and are over 7 s after the last sign if none comes up. Elsewhere nothing changes.

--- a/crates/lemoncleat-access/src/calls.rs
+++ b/crates/lemoncleat-access/src/calls.rs
@@ -102,7 +102,7 @@
     pub(crate) id: String,
     pub(crate) called: String,
     pub(crate) server: ServerId,
-    /// The connection on which it was set up at the server, while that is open.
+    /// The connection on which it was set up at the server, open or not; `None` if a caller named the call.
     pub(crate) server_conn: Option<ConnId>,
     /// The connection on which its caller set it up.
     pub(crate) caller: ConnId,
@@ -635,6 +635,13 @@
         self.end_calls_if(server, "its process was restarted", ended);
     }
 
+    /// Ends the calls of a server that were set up on an ended connection, or named by callers (`None`), when
+    /// the server has no way left to report on them.
+    pub(crate) fn end_calls_of_path(&mut self, server: ServerId, conn: Option<ConnId>) {
+        let ended = |call: &StandingCall| call.server_conn == conn;
+        self.end_calls_if(server, "their connection is gone and no new one comes up", ended);
+    }
+
     fn end_calls_if(&mut self, server: ServerId, why: &'static str, ended: impl Fn(&StandingCall) -> bool) {
         let lost = self.standing.iter().filter(|(_, call)| call.server == server && ended(call));
         let lost: Vec<_> = lost.map(|(id, _)| *id).collect();
--- a/crates/lemoncleat-access/src/servers.rs
+++ b/crates/lemoncleat-access/src/servers.rs
@@ -1,5 +1,6 @@
 //! Call servers: the connections to them, and the messages received on these.
 
+mod call_paths;
 mod list;
 mod succession;
 
@@ -11,6 +12,7 @@
 use lemoncleat_platform::{diagnosis, report_of_text, Names};
 use lemoncleat_sip::{response, Message, Method, Reader, Start};
 
+use self::call_paths::{ConnEnd, EndedConn};
 use crate::callers::RESERVED_SOCKETS;
 use crate::calls::{cause_of, dialog_request, AttemptPath};
 use crate::description;
@@ -37,6 +39,8 @@
     dials: BTreeSet<DialId>,
     /// Number of established calls on the server.
     standing: usize,
+    /// Number of those that were not set up on a connection of this node, but named by callers.
+    named: usize,
     /// Releases to send once there is a connection: Call-ID, called number, cause.
     pending_releases: Vec<(String, String, u16)>,
     /// When a connection to it was last established: what it could not report before, it reported then.
@@ -97,16 +101,6 @@
     partial_since: Option<Micros>,
 }
 
-/// A connection that this node closed: the server may have reported the end of calls on it unread.
-struct AbandonedConn {
-    server: ServerId,
-    /// Number of established calls that were set up on it.
-    standing: usize,
-    /// Whether it was closed without a fault: its server sees the close, and repeats its releases on the next
-    /// connection.
-    healthy: bool,
-}
-
 /// A dial in progress, and the set-ups that wait for it.
 struct Dial {
     server: ServerId,
@@ -118,8 +112,8 @@
     all: BTreeMap<ServerId, Server>,
     by_name: BTreeMap<String, ServerId>,
     conns: BTreeMap<ConnId, ServerConn>,
-    /// Connections that this node closed while calls set up on them were established.
-    abandoned: BTreeMap<ConnId, AbandonedConn>,
+    /// Ended connections on which calls were set up that are still established.
+    ended_conns: BTreeMap<ConnId, EndedConn>,
     dials: BTreeMap<DialId, Dial>,
     zones: Names,
     kinds: Names,
@@ -153,7 +147,7 @@
             all: BTreeMap::new(),
             by_name: BTreeMap::new(),
             conns: BTreeMap::new(),
-            abandoned: BTreeMap::new(),
+            ended_conns: BTreeMap::new(),
             dials: BTreeMap::new(),
             zones: zones.iter().collect(),
             kinds: Names::default(),
@@ -217,40 +211,21 @@
     pub(crate) fn count_standing(&mut self, server: ServerId, conn: Option<ConnId>, change: isize) {
         if let Some(server) = self.all.get_mut(&server) {
             server.standing = server.standing.saturating_add_signed(change);
+            if conn.is_none() {
+                server.named = server.named.saturating_add_signed(change);
+            }
         }
         let Some(id) = conn else { return };
         if let Some(conn) = self.conns.get_mut(&id) {
             conn.standing = conn.standing.saturating_add_signed(change);
-        } else if let Some(abandoned) = self.abandoned.get_mut(&id) {
-            abandoned.standing = abandoned.standing.saturating_add_signed(change);
-            if abandoned.standing == 0 {
-                self.abandoned.remove(&id);
+        } else if let Some(ended) = self.ended_conns.get_mut(&id) {
+            ended.standing = ended.standing.saturating_add_signed(change);
+            if ended.standing == 0 {
+                self.ended_conns.remove(&id);
             }
         }
     }
 
-    /// Returns for each server with established calls the time up to which all messages about them have
-    /// certainly been received: the earliest last message over all connections on which they were set up.
-    fn received_until(&self) -> BTreeMap<ServerId, Micros> {
-        let conns = self.conns.values().filter(|conn| conn.standing > 0);
-        let conns = conns.map(|conn| (conn.server, conn.last_received_at));
-        let abandoned = self.abandoned.values().map(|abandoned| (abandoned.server, 0));
-        let mut received_until = BTreeMap::new();
-        for (server, at) in conns.chain(abandoned) {
-            let earliest = received_until.entry(server).or_insert(at);
-            *earliest = at.min(*earliest);
-        }
-        received_until
-    }
-
-    /// Records a closed connection on which established calls were set up.
-    fn abandon_conn(&mut self, id: ConnId, gone: &ServerConn, healthy: bool) {
-        if gone.standing > 0 {
-            let (server, standing) = (gone.server, gone.standing);
-            self.abandoned.insert(id, AbandonedConn { server, standing, healthy });
-        }
-    }
-
     /// Records that a set-up was written to a connection.
     pub(crate) fn set_up_sent(&mut self, conn: ConnId, call: CallId, now: Micros) {
         if let Some(conn) = self.conns.get_mut(&conn) {
@@ -397,7 +372,7 @@
             if let Some(server) = self.servers.all.get_mut(&gone.server) {
                 server.conns.remove(&least);
             }
-            self.servers.abandon_conn(least, &gone, true);
+            self.servers.conn_ended(least, &gone, ConnEnd::Closed);
             self.out.push(Output::Close(least));
         }
         true
@@ -453,7 +428,7 @@
             partial_since: None,
         };
         self.servers.conns.insert(conn, state);
-        self.servers.abandoned.retain(|_, abandoned| !(abandoned.healthy && abandoned.server == done.server));
+        self.servers.repeats_releases(done.server);
         self.send_pending_releases_to(conn, done.server);
         for call in done.waiting {
             let open_call = self.calls.get(&call);
@@ -530,8 +505,9 @@
         if let Some(server) = self.servers.all.get_mut(&id) {
             server.conns.remove(&conn);
         }
+        let end = if why.is_some() { ConnEnd::GivenUp } else { ConnEnd::ClosedByServer };
+        self.servers.conn_ended(conn, &gone, end);
         if let Some(why) = why {
-            self.servers.abandon_conn(conn, &gone, false);
             let server = self.servers.name(id);
             self.notice(Notice::ServerConn { server, why, open: gone.open.len() });
         }
@@ -921,6 +897,9 @@
             } else if needs_fresh_conn {
                 self.open_fresh_conn(id);
             }
+            for path in self.servers.lost_paths(id, now) {
+                self.end_calls_of_path(id, path);
+            }
             self.maintain_server(id);
         }
     }
@@ -962,6 +941,7 @@
             conns: conns.clone().collect(),
             dials: BTreeSet::new(),
             standing: 0,
+            named: 0,
             pending_releases: Vec::new(),
             last_connected_at: 0,
             last_received_at: 0,
--- a/crates/lemoncleat-access/src/servers/list.rs
+++ b/crates/lemoncleat-access/src/servers/list.rs
@@ -79,6 +79,7 @@
             conns: BTreeSet::new(),
             dials: BTreeSet::new(),
             standing: 0,
+            named: 0,
             pending_releases: Vec::new(),
             last_connected_at: self.now,
             last_received_at: self.now,
--- a/crates/lemoncleat-access/src/servers/succession.rs
+++ b/crates/lemoncleat-access/src/servers/succession.rs
@@ -64,8 +64,8 @@
         if let Some(server) = self.all.get_mut(&to) {
             server.standing += 1;
         }
-        if let Some(abandoned) = conn.and_then(|conn| self.abandoned.get_mut(&conn)) {
-            abandoned.server = to;
+        if let Some(ended) = conn.and_then(|conn| self.ended_conns.get_mut(&conn)) {
+            ended.server = to;
         }
     }
 
