After a stall, take the list's news before the set-ups that waited beside it

Cause: the module's guard against stalls (detect_stall) knows of a stall by its timer, which is set only while calls are open, and holds for one moment of its clock; the access node gives it each input at a time of its own, so that the second set-up of a backlog was sent even with a call open.

Change: catch_up.rs. A timer served over 100 ms late shows the stall (maintenance is due every 100 ms). Answers, releases, withdrawals and deadlines are handled at once, as before. The module is unchanged.

Tests: tests/stalls.rs; sends_no_set_up_to_server_that_drained_during_stall failed before, with and without an open call.

--- a/crates/lemoncleat-access/src/journal.rs
+++ b/crates/lemoncleat-access/src/journal.rs
@@ -143,6 +143,9 @@
             }
         }
         self.journal.line.extend_from_slice(bytes);
+        if self.journal.line.is_empty() {
+            self.end_catch_up();
+        }
         if self.journal.line.len() > MAX_JOURNAL_LINE_BYTES {
             self.journal_down("a line exceeds the maximum length");
         }
--- a/crates/lemoncleat-access/src/lib.rs
+++ b/crates/lemoncleat-access/src/lib.rs
@@ -9,6 +9,7 @@
 mod answers;
 mod callers;
 mod calls;
+mod catch_up;
 mod description;
 mod fleet;
 mod interface;
--- a/crates/lemoncleat-access/src/node.rs
+++ b/crates/lemoncleat-access/src/node.rs
@@ -8,6 +8,7 @@
 
 use crate::callers::Callers;
 use crate::calls::{Call, StandingCall};
+use crate::catch_up::CatchUp;
 use crate::fleet::JoinedFleet;
 use crate::interface::{ConnId, Input, Output, Stats};
 use crate::journal::Journal;
@@ -28,6 +29,8 @@
     CallDeadline(CallId),
     /// The maintenance run.
     Maintenance,
+    /// The end of the wait for news of the server list after a stall.
+    CatchUpLimit,
 }
 
 /// The kind of peer at the other end of a connection.
@@ -85,7 +88,8 @@
     /// Ends of attempts that are reported to the module after the departure of their caller.
     pub(crate) deferred_events: Vec<Event>,
     /// Events that the module has not been given yet.
-    events: VecDeque<Event>,
+    pub(crate) events: VecDeque<Event>,
+    pub(crate) catch_up: CatchUp,
     actions: Vec<Action>,
     pub(crate) out: Vec<Output>,
     pub(crate) stats: Stats,
@@ -135,6 +139,7 @@
             tracing: false,
             deferred_events: Vec::new(),
             events: VecDeque::new(),
+            catch_up: CatchUp::default(),
             actions: Vec::new(),
             out: Vec::new(),
             stats: Stats::default(),
@@ -155,6 +160,7 @@
     pub fn handle(&mut self, now: Micros, input: Input<'_>, outputs: &mut Vec<Output>) {
         self.now = self.now.max(now);
         self.received_at = self.now;
+        self.detect_stall();
         match input {
             Input::Accepted(conn) => self.caller_accepted(conn),
             Input::CloseDeclined(conn) => self.keep_unread_caller(conn),
@@ -249,12 +255,15 @@
                 Timer::Attempt(call, attempt) => self.attempt_timed_out(call, attempt),
                 Timer::CallDeadline(call) => self.fail_at_deadline(call),
                 Timer::Maintenance => self.run_maintenance(),
+                Timer::CatchUpLimit => self.end_catch_up_at_limit(),
             }
             self.dispatch_events();
         }
+        self.catch_up.timers_served();
     }
 
-    /// Queues an event for the module; it is delivered before the processing of the current input ends.
+    /// Queues an event for the module; it is delivered before the processing of the current input ends, or once
+    /// the node has caught up after a stall.
     pub(crate) fn queue_event(&mut self, event: Event) {
         self.events.push_back(event);
     }
@@ -263,8 +272,12 @@
         self.queue_event(Event::Members(news));
     }
 
-    /// Delivers all queued events to the module and carries out its actions.
+    /// Delivers all queued events to the module and carries out its actions, unless the node still catches up
+    /// after a stall.
     fn dispatch_events(&mut self) {
+        if self.catch_up.in_progress() {
+            return;
+        }
         while let Some(event) = self.events.pop_front() {
             let mut actions = std::mem::take(&mut self.actions);
             self.controller.handle(self.now, event, &mut actions);
--- a/crates/lemoncleat-access/src/timing.rs
+++ b/crates/lemoncleat-access/src/timing.rs
@@ -11,6 +11,12 @@
 pub const MAX_CALLER_TIMER_MS: f64 = 600_000.0;
 /// Interval between two maintenance runs.
 pub const MAINTENANCE_INTERVAL_US: Micros = 100 * MS;
+/// The event loop is considered to have stalled if a timer is served this late: at least one maintenance run
+/// was missed.
+pub const MIN_STALL_US: Micros = MAINTENANCE_INTERVAL_US;
+/// After a stall, the module is given events once the journal service was read, or after this time: the 50 ms by
+/// which the platform extends every time limit.
+pub const CATCH_UP_LIMIT_US: Micros = 50 * MS;
 /// A caller's connection is closed if it has received nothing useful for this long after it was accepted, or
 /// if a message on it stays incomplete for this long.
 pub const CALLER_MESSAGE_TIMEOUT_US: Micros = 2 * SECOND;
