Release calls on an open but silent connection when no new one comes up

Cause found by reading: the change for calls whose own connection is gone looked at ended connections only.

Tests: releases_calls_of_open_silent_connection_when_server_takes_no_new_one failed before.

--- a/crates/lemoncleat-access/src/calls.rs
+++ b/crates/lemoncleat-access/src/calls.rs
@@ -635,11 +635,11 @@
         self.end_calls_if(server, "its process was restarted", ended);
     }
 
-    /// Ends the calls of a server that were set up on an ended connection, or named by callers (`None`), when
-    /// the server has no way left to report on them.
+    /// Ends the calls of a server that were set up on one connection, or named by callers (`None`), when the
+    /// server has no way left to report on them.
     pub(crate) fn end_calls_of_path(&mut self, server: ServerId, conn: Option<ConnId>) {
         let ended = |call: &StandingCall| call.server_conn == conn;
-        self.end_calls_if(server, "their connection is gone and no new one comes up", ended);
+        self.end_calls_if(server, "their connection is of no more use and no new one comes up", ended);
     }
 
     fn end_calls_if(&mut self, server: ServerId, why: &'static str, ended: impl Fn(&StandingCall) -> bool) {
--- a/crates/lemoncleat-access/src/servers/call_paths.rs
+++ b/crates/lemoncleat-access/src/servers/call_paths.rs
@@ -80,21 +80,26 @@
         received_at.last().copied()
     }
 
-    /// Returns the ended connections of a server that accepts no new one, on which the ends of calls may have
-    /// been reported in vain for so long that their callers must be told; `None` among them stands for the
-    /// calls that callers named.
+    /// Returns the connections of a server that accepts no new one, on which the ends of calls may have been
+    /// reported in vain for so long that their callers must be told: ended ones, and open ones that are silent.
+    /// `None` among them stands for the calls that callers named.
     pub(super) fn lost_paths(&self, id: ServerId, now: Micros) -> Vec<Option<ConnId>> {
         let Some(server) = self.all.get(&id).filter(|server| server.unreachable) else { return Vec::new() };
         let is_lost =
             |told_until: Micros| now - told_until.max(server.last_connected_at) > SERVER_LOST_TIMEOUT_US;
         let reported_until = self.reported_until(id).unwrap_or(server.last_received_at);
         let ended = self.ended_conns.iter().filter(|(_, ended)| ended.server == id);
-        let lost = ended.filter(|(_, ended)| match ended.end {
+        let ended = ended.filter(|(_, ended)| match ended.end {
             ConnEnd::Closed => false,
             ConnEnd::GivenUp => is_lost(ended.last_received_at),
             ConnEnd::ClosedByServer => is_lost(reported_until),
         });
+        // Beyond the connections on which the server reports, silence says nothing.
+        let open = server.conns.iter().filter(|conn| {
+            let carries_calls = self.conns.get(conn).filter(|conn| conn.standing > 0);
+            carries_calls.is_some_and(|conn| is_lost(conn.last_received_at.max(reported_until)))
+        });
         let named = (server.named > 0 && is_lost(reported_until)).then_some(None);
-        lost.map(|(conn, _)| Some(*conn)).chain(named).collect()
+        ended.map(|(conn, _)| Some(*conn)).chain(open.map(|conn| Some(*conn))).chain(named).collect()
     }
 }
--- a/crates/lemoncleat-access/tests/call_paths.rs
+++ b/crates/lemoncleat-access/tests/call_paths.rs
@@ -194,3 +194,15 @@
         }
     }
 }
+
+/// Guards against calls that are released too late because their connection died without a sign and stayed
+/// open, while their server takes no new one and reports on another: as seen with servers that drain.
+#[test]
+fn releases_calls_of_open_silent_connection_when_server_takes_no_new_one() {
+    let mut calls = TwoCalls::new();
+    calls.harness.reachable.remove(&server_a());
+    let other = calls.conns[1];
+    assert_eq!(calls.advance(REPORT_LIMIT_US, &[other]), [ID], "only the call of the silent connection");
+    assert!(!calls.harness.closed.contains(&calls.conns[0]));
+    assert!(calls.advance(20 * SECOND, &[other]).is_empty(), "the other call stands");
+}
