--- a/review/standins-2/caller.rs
+++ b/review/standins-2/caller.rs
@@ -14,6 +14,8 @@
 #[derive(Clone, Default, Debug)]
 pub struct Seen {
     pub stands: Option<f64>,
+    /// The description in the answer.
+    pub description: String,
     /// The group of the server whose description the answer carries.
     pub server: i64,
     pub refused: Option<(f64, u16)>,
@@ -73,6 +75,7 @@
                         seen.answers += 1;
                         if message.code() < 300 {
                             seen.stands = Some(now());
+                            seen.description = String::from_utf8_lossy(&message.body).into_owned();
                             let name = String::from_utf8_lossy(message.body.get(..16).unwrap_or_default())
                                 .into_owned();
                             seen.server = i64::from_str_radix(&name, 16).map_or(-1, |name| name - 0xa000);
@@ -112,13 +115,7 @@
     pub fn set_up(&self, id: &str, class: &str, timer: f64, first_choice: i64) {
         self.calls.lock().expect("calls").insert(id.to_owned(), Seen::default());
         record(format!("{}: set-up {id}, class {class}, first choice {first_choice}", self.name));
-        let headers = [
-            ("X-Cos", class.to_owned()),
-            ("X-Timer-Ms", format!("{}", (timer * 1e3) as u64)),
-            ("X-Legs", format!("dest:{first_choice};width:1;via:-1")),
-        ];
-        let body = format!("{id}\r\nc=IN IP4 127.0.0.1\r\nm=audio 7000 RTP/AVP 0\r\n");
-        self.send(&request("INVITE", &id[..8], id, &headers, &body));
+        self.send(&set_up(id, class, timer, first_choice));
     }
 
     /// Names a call that stands at a call server.
@@ -133,3 +130,14 @@
         self.send(&request("INVITE", &id[..8], id, &headers, &body));
     }
 }
+
+/// The bytes of a set-up.
+pub fn set_up(id: &str, class: &str, timer: f64, first_choice: i64) -> Vec<u8> {
+    let headers = [
+        ("X-Cos", class.to_owned()),
+        ("X-Timer-Ms", format!("{}", (timer * 1e3) as u64)),
+        ("X-Legs", format!("dest:{first_choice};width:1;via:-1")),
+    ];
+    let body = format!("{id}\r\nc=IN IP4 127.0.0.1\r\nm=audio 7000 RTP/AVP 0\r\n");
+    request("INVITE", &id[..8], id, &headers, &body)
+}
--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -1,14 +1,17 @@
 //! The cases: each plays its day and returns a line for every break of its rule.
 
 use std::collections::BTreeSet;
+use std::io::Write;
+use std::net::TcpStream;
 use std::thread;
 use std::time::Duration;
 
-use crate::caller::{Caller, Calls, Seen};
+use crate::caller::{set_up, Caller, Calls, Seen};
 use crate::journal::Journal;
 use crate::platform::{entry, event, first_event, Node, CLASSES};
 use crate::record::{now, record, say, until};
 use crate::server::CallServer;
+use crate::sip::request;
 use crate::unable;
 
 type Case = fn(&str, bool) -> Vec<String>;
@@ -26,6 +29,8 @@
         "named-after-restarts" => named_after_restarts,
         "quiet-call" => quiet_call,
         "stops-short" => stops_short,
+        "short-description" => short_description,
+        "set-up-sent-twice" => set_up_sent_twice,
         "named-after-loss" => named_after_loss,
         _ => return None,
     })
@@ -430,3 +435,93 @@
     }
     released_though_standing(&calls, &over)
 }
+
+/// Some answers carry a length that ends at a line of their description; the rest comes a moment later.
+fn short_description(folder: &str, trouble: bool) -> Vec<String> {
+    let servers = [0, 1, 2].map(|group| {
+        CallServer::start(["s-00000a31", "s-00000a32", "s-00000a33"][group], group as i64, 0.02, 5.0)
+    });
+    servers.iter().for_each(|server| server.answers_in_two(if trouble { 10 } else { 0 }));
+    let all: Vec<&CallServer> = servers.iter().collect();
+    let journal = Journal::start("one", &[first_event(&all)]);
+    let mut node = Node::new("n0", folder, &all);
+    node.configure(&journal);
+    node.start();
+    let calls = Calls::default();
+    let callers = [connect("caller 1", &node, &calls), connect("caller 2", &node, &calls)];
+    let began = now();
+    for number in 0..200_u64 {
+        until(began + number as f64 / 8.0);
+        callers[number as usize % 2].set_up(
+            &id(number),
+            CLASSES[usize::from(number % 16 == 0)],
+            3.0,
+            number as i64 % 3,
+        );
+    }
+    thread::sleep(Duration::from_secs(4));
+    expect_running(&mut node);
+    let calls = calls.lock().expect("calls");
+    let stood: Vec<_> = calls.iter().filter(|(_, seen)| seen.stands.is_some()).collect();
+    say(format!("{} of {} calls were answered as served", stood.len(), calls.len()));
+    let foreign = stood
+        .iter()
+        .filter(|(_, seen)| !servers.iter().any(|server| server.description() == seen.description));
+    foreign
+        .map(|(id, seen)| format!("call {id}: served with {:?}, which no call server made", seen.description))
+        .collect()
+}
+
+/// Resting connections of callers are reset just after a set-up was sent on them; their callers send the set-up once
+/// more, on a new connection.
+fn set_up_sent_twice(folder: &str, trouble: bool) -> Vec<String> {
+    const CROSSING: f64 = 0.02;
+    const RELEASE: f64 = 0.3;
+    let servers = [0, 1, 2].map(|group| {
+        CallServer::start(["s-00000a41", "s-00000a42", "s-00000a43"][group], group as i64, 0.15, 3.0)
+    });
+    let all: Vec<&CallServer> = servers.iter().collect();
+    let journal = Journal::start("one", &[first_event(&all)]);
+    let mut node = Node::new("n0", folder, &all);
+    node.configure(&journal);
+    node.start();
+    let calls = Calls::default();
+    for number in 0..10_u64 {
+        let Ok(mut resting) = TcpStream::connect(node.listen) else {
+            unable("the access node takes no connection")
+        };
+        let test = request("OPTIONS", "ping", "00000000000000aa", &[], "");
+        let call = id(number);
+        let bytes = set_up(&call, "browse", 3.0, number as i64 % 3);
+        let mut sent = resting.write_all(&test).is_ok();
+        // At rest for a second. The answer to the test stays unread, so that the end of the connection is a reset.
+        thread::sleep(Duration::from_secs(1));
+        if trouble {
+            record(format!("caller {number}: set-up {call} on a resting connection"));
+            sent &= resting.write_all(&bytes).is_ok();
+            until(now() + CROSSING);
+            drop(resting);
+            record(format!("caller {number}: the connection is reset"));
+        }
+        if !sent {
+            unable("the access node closed a resting connection");
+        }
+        let caller = connect(&format!("caller {number}"), &node, &calls);
+        caller.set_up(&call, "browse", 3.0, number as i64 % 3);
+        thread::sleep(Duration::from_secs(1));
+    }
+    thread::sleep(Duration::from_secs(4));
+    expect_running(&mut node);
+    let given_up: Vec<(f64, String)> = servers.iter().flat_map(CallServer::given_up).collect();
+    let mut set_ups: Vec<(f64, String)> = servers.iter().flat_map(CallServer::set_ups).collect();
+    set_ups.sort_by(|one, other| one.0.total_cmp(&other.0));
+    say(format!("{} set-ups reached the servers, {} were given up", set_ups.len(), given_up.len()));
+    let mut broken = Vec::new();
+    for (ended_at, call) in &given_up {
+        let attempts: Vec<f64> = set_ups.iter().filter(|(_, id)| id == call).map(|(at, _)| *at).collect();
+        for at in attempts.iter().skip(1).filter(|at| **at < ended_at + RELEASE - SLACK) {
+            broken.push(format!("call {call}: given up at {ended_at:.3}, sent again at {at:.3}"));
+        }
+    }
+    broken
+}
--- a/review/standins-2/server.rs
+++ b/review/standins-2/server.rs
@@ -22,6 +22,8 @@
 const LASTING: f64 = 60.0;
 /// Seconds from an answer that stops short to the end of a call beside it.
 const AFTER_STOP: f64 = 0.1;
+/// Seconds between the two pieces of an answer.
+const SECOND_PIECE: f64 = 0.03;
 
 #[derive(Clone)]
 pub struct Held {
@@ -64,6 +66,13 @@
     hold: f64,
     /// Whether one of the next answers stops short.
     stops_short: bool,
+    /// Answers are written in two pieces, after the second line of the description. Of one in so many the length in its
+    /// head counts the first piece only.
+    in_two: Option<u64>,
+    answers: u64,
+    second_pieces: Vec<(f64, u64, Vec<u8>)>,
+    /// Set-ups that were given up: when, and the id.
+    given_up: Vec<(f64, String)>,
 }
 
 #[derive(Clone)]
@@ -178,6 +187,7 @@
             }
             "CANCEL" => {
                 record(format!("{}: {id} given up on connection {conn}", self.name));
+                state.given_up.push((now(), id.clone()));
                 state.pending.retain(|pending| pending.invite.id() != id);
                 Self::write(state, conn, &response(200, "OK", &message, "", ""));
             }
@@ -197,6 +207,12 @@
         }
     }
 
+    /// The first two lines of a description.
+    fn first_piece(body: &str) -> &str {
+        let end = body.match_indices("\r\n").nth(1).map_or(body.len(), |(at, end)| at + end.len());
+        &body[..end]
+    }
+
     fn report(state: &State) -> String {
         let (total, busy) = (400, state.held.len());
         format!("x0:{};x1:{total};latency_ms:2", total - busy.min(total))
@@ -242,8 +258,28 @@
                         (held.ends, held.lasts) = (soon, false);
                         state.stops_short = false;
                     }
+                    if let Some(one_in) = state.in_two {
+                        state.answers += 1;
+                        let wrong = one_in > 0 && state.answers % one_in == 0;
+                        let first = Self::first_piece(&body);
+                        let head = response(200, "OK", &one.invite, &report, if wrong { first } else { &body });
+                        let length = head.len() - if wrong { 0 } else { body.len() - first.len() };
+                        record(format!("{}: the answer for {id} comes in two pieces, its length is {}", self.name, if wrong { "wrong" } else { "right" }));
+                        let rest = body[first.len()..].as_bytes().to_vec();
+                        state.second_pieces.push((now() + SECOND_PIECE, one.conn, rest));
+                        Self::write(state, one.conn, &head[..length]);
+                        continue;
+                    }
                     Self::write(state, one.conn, &answer[..whole]);
                 }
+                let pieces = std::mem::take(&mut state.second_pieces);
+                for (due, conn, bytes) in pieces {
+                    if now() >= due {
+                        Self::write(state, conn, &bytes);
+                    } else {
+                        state.second_pieces.push((due, conn, bytes));
+                    }
+                }
                 let over: Vec<(String, u64)> =
                     state.held.iter().filter(|(_, held)| now() >= held.ends).map(|(id, held)| (id.clone(), held.conn)).collect();
                 for (id, conn) in over {
@@ -272,6 +308,21 @@
         self.with(|state| state.stops_short = true);
     }
 
+    /// Answers come in two pieces from now on; of one in `one_in` (0: none) the length counts the first piece only.
+    pub fn answers_in_two(&self, one_in: u64) {
+        self.with(|state| state.in_two = Some(one_in));
+    }
+
+    /// The description with which this server answers a call.
+    pub fn description(&self) -> String {
+        format!("{:016x}\r\nc=IN IP4 127.0.0.1\r\nm=audio 31000 RTP/AVP 0 8 101\r\n", 0xa000 + self.group)
+    }
+
+    /// The set-ups that were given up, with the time.
+    pub fn given_up(&self) -> Vec<(f64, String)> {
+        self.with(|state| state.given_up.clone())
+    }
+
     /// Sets how long the calls last that are set up from now on.
     pub fn hold_for(&self, seconds: f64) {
         self.with(|state| state.hold = seconds);
